--- /dev/null
+++ b/cmd/pumicefront/main.go
@@ -0,0 +1,97 @@
+// Command pumicefront runs one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"pumicefront/config"
+	"pumicefront/server"
+)
+
+const version = "0.1.0"
+
+// settings are the two files that every command but version reads.
+type settings struct {
+	Operators string `help:"Operators' own settings (HCL)." type:"path"`
+	Config    string `help:"Settings that the platform hands over (TOML)." required:"" type:"path"`
+}
+
+func (s *settings) load() (*config.Platform, config.Operator, error) {
+	op, err := config.LoadOperator(s.Operators)
+	if err != nil {
+		return nil, op, err
+	}
+	cfg, err := config.LoadPlatform(s.Config)
+	return cfg, op, err
+}
+
+type serveCmd struct{ settings }
+
+// Run serves until the process is killed.
+func (c *serveCmd) Run() error {
+	cfg, op, err := c.load()
+	if err != nil {
+		return err
+	}
+	tune(cfg)
+	return server.New(cfg, op).Run(context.Background())
+}
+
+type checkCmd struct{ settings }
+
+// Run prints what was understood of the settings.
+func (c *checkCmd) Run() error {
+	cfg, op, err := c.load()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("platform: %+v\noperators: %+v\n", *cfg, op)
+	return nil
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	fmt.Println("pumicefront", version)
+	return nil
+}
+
+// tune fits the runtime to the machine: one thread runs at a time, the heap is
+// small against the memory limit, and collecting seldom saves processor time.
+func tune(cfg *config.Platform) {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(cfg.Facts.Resources.MemoryMB * 0.6 * (1 << 20)))
+}
+
+func logLevel() slog.Level {
+	switch os.Getenv("LOG_LEVEL") {
+	case "debug":
+		return slog.LevelDebug
+	case "info":
+		return slog.LevelInfo
+	}
+	return slog.LevelError
+}
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})))
+	var cli struct {
+		Serve         serveCmd   `cmd:"" help:"Run a controller."`
+		CheckSettings checkCmd   `cmd:"" help:"Check both settings files and print what was understood."`
+		Version       versionCmd `cmd:"" help:"Print the version."`
+	}
+	ctx := kong.Parse(&cli, kong.Name("pumicefront"), kong.Description("A scheduler for a cluster of rented machines."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "pumicefront:", err)
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,207 @@
+// Package config reads the settings that the platform hands to a controller
+// (TOML) and those that its operators keep (HCL).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/hashicorp/hcl/v2/hclsimple"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Platform is the file that the platform hands over. Unknown fields are ignored.
+type Platform struct {
+	Member   string `toml:"member"`
+	Zone     string `toml:"area"`
+	Listen   string `toml:"client_listen"`
+	Mesh     string `toml:"mesh_addr"`
+	Others   []Peer `toml:"others"`
+	External struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Facts Facts `toml:"facts"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Member string `toml:"member"`
+	Addr   string `toml:"endpoint"`
+}
+
+// Facts describe the deployment.
+type Facts struct {
+	Zones      []string    `toml:"zones"`
+	SkewMS     float64     `toml:"skew_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    struct {
+		ReportS float64 `toml:"report_s"`
+		LeaseS  float64 `toml:"lease_s"`
+		CancelS float64 `toml:"cancel_s"`
+	} `toml:"workers"`
+	State struct {
+		RPS      float64 `toml:"rps"`
+		WriteRPS float64 `toml:"write_rps"`
+		ValueKB  float64 `toml:"value_kb"`
+		TxnOps   int     `toml:"txn_ops"`
+	} `toml:"state"`
+	Cloud struct {
+		RPS      float64 `toml:"rps"`
+		ListLagS float64 `toml:"list_lag_s"`
+	} `toml:"cloud"`
+	Resources struct {
+		CoreShare      float64 `toml:"core_share"`
+		MemoryMB       float64 `toml:"memory_mb"`
+		MaxConnections int     `toml:"max_connections"`
+	} `toml:"resources"`
+}
+
+// Team is a team's guarantee and limit.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim on starting or finishing.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Operator holds the operators' own settings; docs/operations.md explains each.
+type Operator struct {
+	LeaderLife   string  `hcl:"leader_life,optional"`
+	SilentShare  float64 `hcl:"silent_share,optional"`
+	IdleS        float64 `hcl:"idle_s,optional"`
+	Headroom     float64 `hcl:"headroom,optional"`
+	HeadroomMost float64 `hcl:"headroom_most,optional"`
+}
+
+// DefaultOperator are the settings where the file says nothing.
+func DefaultOperator() Operator {
+	return Operator{LeaderLife: "2s", SilentShare: 0.45, IdleS: 75, Headroom: 0.1, HeadroomMost: 1.5}
+}
+
+// LeaderLifetime is the life of the leader's lease.
+func (o Operator) LeaderLifetime() time.Duration {
+	d, err := time.ParseDuration(o.LeaderLife)
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// Seconds turns a number of seconds from the settings into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// LoadPlatform reads and checks the platform's file.
+func LoadPlatform(path string) (*Platform, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	var p Platform
+	if err := toml.Unmarshal(raw, &p); err != nil {
+		var decode *toml.DecodeError
+		if errors.As(err, &decode) {
+			return nil, fmt.Errorf("%s: field %v: %w", path, decode.Key(), err)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := p.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &p, nil
+}
+
+// LoadOperator reads and checks the operators' file; with no path the defaults hold.
+func LoadOperator(path string) (Operator, error) {
+	o := DefaultOperator()
+	if path == "" {
+		return o, nil
+	}
+	if err := hclsimple.DecodeFile(path, nil, &o); err != nil {
+		return o, fmt.Errorf("read settings: %w", err)
+	}
+	if err := o.check(); err != nil {
+		return o, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+// field is one bound on a setting.
+type field struct {
+	name       string
+	value      float64
+	least, max float64
+}
+
+func checkFields(fields []field) error {
+	for _, f := range fields {
+		if !(f.value >= f.least && f.value <= f.max) {
+			return fmt.Errorf("field %s is %v, must be between %v and %v", f.name, f.value, f.least, f.max)
+		}
+	}
+	return nil
+}
+
+func (o Operator) check() error {
+	if _, err := time.ParseDuration(o.LeaderLife); err != nil {
+		return fmt.Errorf("field leader_life: %w", err)
+	}
+	return checkFields([]field{
+		{"leader_life (seconds)", o.LeaderLifetime().Seconds(), 0.5, 60},
+		{"silent_share", o.SilentShare, 0.2, 10},
+		{"idle_s", o.IdleS, 0, 86400},
+		{"headroom", o.Headroom, 0, 10},
+		{"headroom_most", o.HeadroomMost, 0, 10},
+	})
+}
+
+func (p *Platform) check() error {
+	if p.Member == "" {
+		return errors.New("field member is missing")
+	}
+	addrs := map[string]string{"client_listen": p.Listen, "mesh_addr": p.Mesh,
+		"external.cloud": p.External.Cloud, "external.state": p.External.State}
+	for _, o := range p.Others {
+		if o.Member == "" || o.Member == p.Member {
+			return fmt.Errorf("field others.member is %q", o.Member)
+		}
+		addrs["others."+o.Member+".endpoint"] = o.Addr
+	}
+	for name, a := range addrs {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return fmt.Errorf("field %s: %w", name, err)
+		}
+	}
+	for _, t := range p.Facts.Teams {
+		if t.Name == "" || t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax < t.CPUs || t.GPUsMax < t.GPUs {
+			return fmt.Errorf("field facts.teams: team %q has no name, or a guarantee outside its limit", t.Name)
+		}
+	}
+	f := &p.Facts
+	return checkFields([]field{
+		{"facts.workers.report_s", f.Workers.ReportS, 0.01, 3600},
+		{"facts.workers.lease_s", f.Workers.LeaseS, 0.1, 86400},
+		{"facts.workers.cancel_s", f.Workers.CancelS, 0.1, 86400},
+		{"facts.state.rps", f.State.RPS, 10, 1e6},
+		{"facts.state.write_rps", f.State.WriteRPS, 5, 1e6},
+		{"facts.state.value_kb", f.State.ValueKB, 1, 1e4},
+		{"facts.state.txn_ops", float64(f.State.TxnOps), 4, 1e4},
+		{"facts.cloud.rps", f.Cloud.RPS, 0.1, 1e4},
+		{"facts.cloud.list_lag_s", f.Cloud.ListLagS, 0, 3600},
+		{"facts.resources.memory_mb", f.Resources.MemoryMB, 32, 1e6},
+		{"facts.resources.max_connections", float64(f.Resources.MaxConnections), 32, 1e6},
+	})
+}
--- /dev/null
+++ b/controller/control.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"pumicefront/wire"
+)
+
+// control is this controller's copy of the watched records. It is as old as its
+// revision; before anything is told to a user from it, sync brings it up to date.
+type control struct {
+	loaded, loading bool
+	revision        uint64
+	versions        map[string]uint64
+	leader          *leaderRecord
+	token           uint64
+	headers         map[string]*headerRecord
+
+	syncing  bool
+	lastSync time.Time
+	waiting  []func(ok bool)
+}
+
+func (k *control) init() {
+	k.versions = map[string]uint64{}
+	k.headers = map[string]*headerRecord{}
+}
+
+// maxWaiting bounds the requests that wait for one sync.
+const maxWaiting = 512
+
+// load reads all watched records and then starts to watch them.
+func (c *Core) load() {
+	c.control.loading = true
+	c.readAll(controlPrefix, userCallTimeout, func(items []wire.Item, revision uint64, ok bool) {
+		if !ok {
+			c.after(retryPause, c.load)
+			return
+		}
+		keep := map[string]bool{}
+		for _, it := range items {
+			keep[it.Key] = true
+		}
+		for key, v := range c.control.versions {
+			if !keep[key] && v <= revision {
+				c.applyControl(wire.Event{Delete: key, Version: revision})
+			}
+		}
+		for _, it := range items {
+			c.applyControl(wire.Event{Put: it.Key, Value: it.Value, Version: it.Version})
+		}
+		c.control.revision = max(c.control.revision, revision)
+		c.control.loaded, c.control.loading = true, false
+		c.follow()
+	})
+}
+
+// readAll reads every key with the prefix. The revision is that of the first
+// page: what changes later is seen again by a watch that starts there.
+func (c *Core) readAll(prefix string, timeout time.Duration, done func([]wire.Item, uint64, bool)) {
+	var items []wire.Item
+	revision := uint64(0)
+	var page func(after string)
+	page = func(after string) {
+		c.state(StateCall{Op: OpRange, Key: prefix, After: after, Timeout: timeout}, func(r StateReply) {
+			if r.Status != http.StatusOK {
+				done(nil, 0, false)
+				return
+			}
+			if after == "" {
+				revision = r.Page.Revision
+			}
+			items = append(items, r.Page.Items...)
+			if r.Page.More && len(r.Page.Items) > 0 {
+				page(r.Page.Items[len(r.Page.Items)-1].Key)
+				return
+			}
+			done(items, revision, true)
+		})
+	}
+	page("")
+}
+
+// follow keeps one long watch open.
+func (c *Core) follow() {
+	call := StateCall{Op: OpWatch, Key: controlPrefix, Revision: c.control.revision, Wait: watchWait,
+		Timeout: watchWait + userCallTimeout}
+	c.state(call, func(r StateReply) {
+		switch r.Status {
+		case http.StatusOK:
+			c.applyWatch(r.Watch)
+			c.follow()
+		case http.StatusGone:
+			c.load()
+		default:
+			c.after(retryPause, c.follow)
+		}
+	})
+}
+
+// sync calls fn once the copy holds everything that was written before sync was
+// called. Requests that arrive meanwhile share one read.
+func (c *Core) sync(fn func(ok bool)) {
+	if !c.control.loaded || len(c.control.waiting) >= maxWaiting {
+		fn(false)
+		return
+	}
+	c.control.waiting = append(c.control.waiting, fn)
+	if !c.control.syncing {
+		c.control.syncing = true
+		c.startSync()
+	}
+}
+
+func (c *Core) startSync() {
+	if !c.reads.AllowN(c.now, 1) {
+		c.after(10*time.Millisecond, c.startSync)
+		return
+	}
+	served := c.control.waiting
+	c.control.waiting = nil
+	call := StateCall{Op: OpWatch, Key: controlPrefix, Revision: c.control.revision, Timeout: userCallTimeout}
+	c.state(call, func(r StateReply) {
+		ok := r.Status == http.StatusOK
+		if ok {
+			c.applyWatch(r.Watch)
+			c.control.lastSync = c.now
+		} else if r.Status == http.StatusGone && !c.control.loading {
+			// The long watch would find out too late: nothing can be told until then.
+			c.control.loaded = false
+			c.load()
+		}
+		for _, fn := range served {
+			fn(ok)
+		}
+		if len(c.control.waiting) == 0 {
+			c.control.syncing = false
+			return
+		}
+		c.startSync()
+	})
+}
+
+func (c *Core) applyWatch(w wire.Watch) {
+	for _, e := range w.Events {
+		// Replaying a creation whose removal was applied already would bring
+		// the key back for a moment.
+		if e.Version > c.control.revision {
+			c.applyControl(e)
+		}
+	}
+	c.control.revision = max(c.control.revision, w.Revision)
+}
+
+// applyControl applies one change, unless the copy already holds a newer one:
+// the long watch and the reads of sync overlap.
+func (c *Core) applyControl(e wire.Event) {
+	key := e.Put + e.Delete
+	if c.control.versions[key] >= e.Version {
+		return
+	}
+	if e.Delete != "" {
+		delete(c.control.versions, key)
+	} else {
+		c.control.versions[key] = e.Version
+	}
+	switch {
+	case key == leaderKey:
+		c.control.leader = decode[leaderRecord](e.Value)
+		c.leaderChanged()
+	case key == tokenKey:
+		if t := decode[tokenRecord](e.Value); t != nil {
+			c.control.token = t.Token
+			c.tokenChanged()
+		}
+	case key == typesKey:
+		if t := decode[wire.MachineTypes](e.Value); t != nil {
+			c.setTypes(t.Types)
+		}
+	case strings.HasPrefix(key, headerPrefix):
+		c.headerChanged(strings.TrimPrefix(key, headerPrefix), decode[headerRecord](e.Value))
+	}
+}
+
+func decode[T any](raw []byte) *T {
+	if len(raw) == 0 {
+		return nil
+	}
+	v := new(T)
+	if wire.Unmarshal(raw, v) != nil {
+		return nil
+	}
+	return v
+}
+
+func (c *Core) headerChanged(job string, h *headerRecord) {
+	if h == nil {
+		delete(c.control.headers, job)
+		delete(c.progress, job)
+	} else {
+		c.control.headers[job] = h
+	}
+	if c.lead != nil && c.lead.recovered {
+		c.lead.header(job, h)
+	}
+}
+
+func (c *Core) setTypes(types []wire.MachineType) {
+	clear(c.types)
+	for _, t := range types {
+		c.types[t.Name] = t
+	}
+}
--- /dev/null
+++ b/controller/core.go
@@ -0,0 +1,194 @@
+package controller
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pumicefront/config"
+	"pumicefront/wire"
+)
+
+// Timeouts and pauses of the core's own calls.
+const (
+	userCallTimeout  = 800 * time.Millisecond
+	leadCallTimeout  = 2 * time.Second
+	cloudCallTimeout = 5 * time.Second
+	watchWait        = 4 * time.Second
+	retryPause       = 200 * time.Millisecond
+	tickEvery        = 250 * time.Millisecond
+)
+
+// clockDrift bounds how far the steady clocks of two machines drift apart.
+const clockDrift = 0.001
+
+// Core is the state machine of one controller.
+type Core struct {
+	cfg  *config.Platform
+	op   config.Operator
+	rng  *rand.Rand
+	inc  uint64 // tells this process from earlier ones of the same member
+	now  time.Time
+	out  []Output
+	next uint64
+
+	stateCalls  map[uint64]func(StateReply)
+	cloudCalls  map[uint64]func(CloudReply)
+	workerCalls map[uint64]func(WorkerReply)
+	timers      []timer
+
+	reads  *rate.Limiter // requests to the state service for users
+	writes *rate.Limiter // changes in the state service for users
+
+	control  control
+	types    map[string]wire.MachineType
+	final    finals
+	progress map[string]jobCount
+
+	claiming   bool
+	claimAfter time.Time
+	endAfter   time.Time
+	lead       *lead
+	promises   promises
+}
+
+// timer runs a function once its time has come.
+type timer struct {
+	at time.Time
+	fn func()
+}
+
+// jobCount is the leader's count of a job's tasks, for display.
+type jobCount struct{ done, running int }
+
+// New returns the core of a controller that starts now.
+func New(cfg *config.Platform, op config.Operator, rng *rand.Rand, now time.Time) *Core {
+	share := 1 / float64(len(cfg.Others)+1)
+	st := cfg.Facts.State
+	c := &Core{
+		cfg: cfg, op: op, rng: rng, inc: rng.Uint64() >> 1, now: now,
+		stateCalls:  map[uint64]func(StateReply){},
+		cloudCalls:  map[uint64]func(CloudReply){},
+		workerCalls: map[uint64]func(WorkerReply){},
+		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
+		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*0.3*share), max(2, int(st.WriteRPS*0.3*share))),
+		types:       map[string]wire.MachineType{},
+		progress:    map[string]jobCount{},
+	}
+	c.final.init()
+	c.control.init()
+	c.promises.started = now
+	return c
+}
+
+// Step takes one input and returns what follows from it.
+func (c *Core) Step(now time.Time, in Input) []Output {
+	c.now = now
+	c.out = nil
+	c.runTimers()
+	c.dispatch(in)
+	c.runTimers()
+	c.pursueLeadership()
+	if c.entitled() {
+		c.lead.run()
+	}
+	return c.out
+}
+
+// Wake returns when the core wants its next Tick at the latest.
+func (c *Core) Wake() time.Time {
+	at := c.now.Add(tickEvery)
+	for _, t := range c.timers {
+		if t.at.Before(at) {
+			at = t.at
+		}
+	}
+	return at
+}
+
+func (c *Core) dispatch(in Input) {
+	switch in := in.(type) {
+	case Tick:
+		if !c.control.loaded && !c.control.loading {
+			c.load()
+		}
+	case StateReply:
+		resume(c.stateCalls, in.ID, in)
+	case CloudReply:
+		resume(c.cloudCalls, in.ID, in)
+	case WorkerReply:
+		resume(c.workerCalls, in.ID, in)
+	case UserRequest:
+		c.user(in)
+	case ReportRequest:
+		c.report(in)
+	case MeshMessage:
+		c.meshMessage(in.Envelope)
+	}
+}
+
+// resume hands a reply to whoever made the call.
+func resume[R any](calls map[uint64]func(R), id uint64, reply R) {
+	if fn, ok := calls[id]; ok {
+		delete(calls, id)
+		fn(reply)
+	}
+}
+
+func (c *Core) runTimers() {
+	for i := 0; i < len(c.timers); {
+		if t := c.timers[i]; !t.at.After(c.now) {
+			c.timers = append(c.timers[:i], c.timers[i+1:]...)
+			t.fn()
+			i = 0
+			continue
+		}
+		i++
+	}
+}
+
+// after runs fn once d has passed.
+func (c *Core) after(d time.Duration, fn func()) {
+	c.timers = append(c.timers, timer{c.now.Add(d), fn})
+}
+
+func (c *Core) id() uint64 {
+	c.next++
+	return c.next
+}
+
+func (c *Core) emit(o Output) { c.out = append(c.out, o) }
+
+func (c *Core) log(level slog.Level, text string, attrs ...any) {
+	c.emit(Event{level, text, attrs})
+}
+
+func (c *Core) state(call StateCall, fn func(StateReply)) {
+	call.ID = c.id()
+	c.stateCalls[call.ID] = fn
+	c.emit(call)
+}
+
+func (c *Core) cloud(call CloudCall, fn func(CloudReply)) {
+	call.ID, call.Timeout = c.id(), cloudCallTimeout
+	c.cloudCalls[call.ID] = fn
+	c.emit(call)
+}
+
+func (c *Core) worker(call WorkerCall, fn func(WorkerReply)) {
+	call.ID, call.Timeout = c.id(), leadCallTimeout
+	c.workerCalls[call.ID] = fn
+	c.emit(call)
+}
+
+func (c *Core) answer(req uint64, status int, body any) {
+	c.emit(Answer{Req: req, Status: status, Body: body})
+}
+
+// later refuses a request that can't be taken now, at once.
+func (c *Core) later(req uint64, why string) {
+	c.emit(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: time.Second})
+}
--- /dev/null
+++ b/controller/jobs.go
@@ -0,0 +1,528 @@
+package controller
+
+import (
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"pumicefront/reduction"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// job is an unfinished job in the leader's memory. Its tasks are the nodes of a
+// reduction; the attempts in force are those not proved gone.
+type job struct {
+	id        string
+	spec      wire.Job
+	cancelled bool
+	accepted  time.Time
+	graph     *reduction.Graph
+	state     *reduction.State
+	attempts  map[int]*attempt
+	per       int
+	chunks    []chunk
+	retryAt   map[int]time.Time
+	fails     map[int]int
+	avoid     map[string]bool
+	dirty     bool // chunks hold what their records don't, or the job is over
+	dirtyAt   time.Time
+	write     *write
+	holdUntil time.Time
+	over      bool // the final record is written
+}
+
+// chunk is a run of tasks that share a record.
+type chunk struct {
+	version uint64
+	next    uint64
+	dirty   bool
+}
+
+// attempt is one try of a task on a machine, in force until it is proved gone.
+type attempt struct {
+	job      *job
+	task     int
+	number   uint64
+	machine  *machine
+	session  uint64 // that its run command is addressed to
+	token    uint64 // the highest that its run may have been sent with
+	recorded bool   // the record is written: run may be sent
+	sent     bool
+	seen     bool // a report has shown it
+	running  bool
+	placed   time.Time
+	since    time.Time // running since
+	stopping bool
+	stoppedA time.Time
+	grace    float64
+}
+
+// write is one write of a job's records, sent again unchanged while in doubt.
+type write struct {
+	id       uint64
+	txn      wire.Txn
+	chunks   []int
+	attempts []*attempt
+	final    *finalRecord
+	doubt    bool
+}
+
+func (a *attempt) taskID() string { return wire.TaskID(a.job.id, a.task) }
+
+func jobEach(j *wire.Job) scheduler.Resources {
+	return scheduler.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+}
+
+func capOf(t wire.MachineType) scheduler.Resources {
+	return scheduler.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+}
+
+// demandOf holds what of a demand follows from the job's description.
+func demandOf(j *wire.Job) *scheduler.Demand {
+	return &scheduler.Demand{
+		Job: j.ID, Class: j.Class, Team: j.Team, Total: j.Tasks, Each: jobEach(j), Types: j.Types, Zone: j.Zone,
+		OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.Image,
+		Rank: slices.Index(wire.Priorities, j.Priority), Service: j.Kind == wire.KindService,
+		InZone: map[string]int{},
+	}
+}
+
+// rebuild makes the leader's state from the records: what was running is
+// pending again, but stays off the frontier until its attempt is proved gone.
+func (l *lead) rebuild(tasks, hires []wire.Item) {
+	c := l.c
+	for id, h := range c.control.headers {
+		l.addJob(id, h)
+	}
+	for _, it := range tasks {
+		id, n, ok := splitChunk(it.Key)
+		rec := decode[taskRecord](it.Value)
+		j := l.jobs[id]
+		if !ok || rec == nil || j == nil || n >= len(j.chunks) {
+			l.orphans = append(l.orphans, it.Key)
+			continue
+		}
+		l.restore(j, n, rec, it.Version)
+	}
+	for _, j := range l.order {
+		reduction.Recover(j.state)
+		if j.cancelled {
+			l.cancel(j)
+		}
+		l.settle(j)
+	}
+	l.fleet.restore(l, hires)
+	l.recovered = true
+	c.log(slog.LevelInfo, "recovered", "token", l.token, "jobs", len(l.jobs), "machines", len(l.machines),
+		"after", c.now.Sub(l.elected))
+	for id, r := range l.unknown {
+		delete(l.unknown, id)
+		l.apply(l.machine(id), &r)
+	}
+	l.wantPlacement()
+}
+
+func (l *lead) restore(j *job, n int, rec *taskRecord, version uint64) {
+	j.chunks[n].version, j.chunks[n].next = version, rec.Next
+	for _, r := range rec.Done {
+		for t := r[0]; t <= r[1] && t < j.spec.Tasks; t++ {
+			j.state.Accumulate(t, reduction.Succeeded)
+		}
+	}
+	for _, p := range rec.Placed {
+		if p.Task >= j.spec.Tasks {
+			continue
+		}
+		m := l.machine(p.Machine)
+		a := &attempt{job: j, task: p.Task, number: p.Attempt, machine: m, session: p.Session,
+			token: l.token - 1, recorded: true, sent: true, placed: l.elected}
+		m.zone = p.Zone
+		j.attempts[p.Task] = a
+		m.attempts[a.key()] = a
+		j.state.Start(p.Task)
+	}
+}
+
+func (l *lead) addJob(id string, h *headerRecord) *job {
+	per := max(1, h.PerChunk)
+	g := reduction.Independent(h.Job.Tasks)
+	j := &job{
+		id: id, spec: h.Job, cancelled: h.Cancelled, accepted: time.UnixMilli(h.AcceptedMS),
+		graph: g, state: reduction.NewState(g), attempts: map[int]*attempt{}, per: per,
+		chunks:  make([]chunk, (h.Job.Tasks+per-1)/per),
+		retryAt: map[int]time.Time{}, fails: map[int]int{}, avoid: map[string]bool{},
+	}
+	l.jobs[id] = j
+	at, _ := slices.BinarySearchFunc(l.order, j, func(a, b *job) int {
+		if n := a.accepted.Compare(b.accepted); n != 0 {
+			return n
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	l.order = slices.Insert(l.order, at, j)
+	return j
+}
+
+// header takes in a change of a job's header.
+func (l *lead) header(id string, h *headerRecord) {
+	j := l.jobs[id]
+	switch {
+	case h == nil:
+		// Only we remove headers; the write that did it is confirmed in its own time.
+	case j == nil:
+		l.addJob(id, h)
+		l.c.log(slog.LevelInfo, "job accepted", "job", id, "class", h.Job.Class, "team", h.Job.Team, "tasks", h.Job.Tasks)
+		l.wantPlacement()
+	case h.Cancelled && !j.cancelled:
+		l.c.log(slog.LevelInfo, "job cancelled", "job", id)
+		l.cancel(j)
+		l.settle(j)
+	}
+}
+
+// cancel counts every unfinished task as failed and stops what is in force.
+func (l *lead) cancel(j *job) {
+	j.cancelled = true
+	for t := range j.spec.Tasks {
+		j.state.Accumulate(t, reduction.Cancelled)
+	}
+	for _, a := range j.sortedAttempts() {
+		switch {
+		case !a.sent && (j.write == nil || !slices.Contains(j.write.attempts, a)):
+			l.gone(a, reduction.Reset, "never sent")
+		default:
+			l.stop(a, 0)
+		}
+	}
+}
+
+func (j *job) sortedAttempts() []*attempt {
+	as := make([]*attempt, 0, len(j.attempts))
+	for _, a := range j.attempts {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, func(a, b *attempt) int { return a.task - b.task })
+	return as
+}
+
+func (j *job) touch(task int, now time.Time) {
+	j.chunks[task/j.per].dirty = true
+	j.mark(now)
+}
+
+func (j *job) mark(now time.Time) {
+	if !j.dirty {
+		j.dirty, j.dirtyAt = true, now
+	}
+}
+
+// gone takes an attempt out of force; the caller has proof.
+func (l *lead) gone(a *attempt, o reduction.Outcome, why string) {
+	j := a.job
+	if j.attempts[a.task] != a {
+		return
+	}
+	delete(j.attempts, a.task)
+	delete(a.machine.attempts, a.key())
+	j.state.Accumulate(a.task, o)
+	if !j.over {
+		j.touch(a.task, l.c.now)
+	}
+	level := slog.LevelDebug
+	if o != reduction.Succeeded && !j.cancelled {
+		level = slog.LevelInfo
+	}
+	l.c.log(level, "attempt gone", "job", j.id, "task", a.task, "attempt", a.number, "machine", a.machine.id, "why", why)
+	l.settle(j)
+	l.wantPlacement()
+}
+
+// finish counts a reported finish.
+func (l *lead) finish(j *job, task int) {
+	if j.state.Status(task) == reduction.Completed || j.cancelled {
+		return
+	}
+	j.state.Accumulate(task, reduction.Succeeded)
+	j.touch(task, l.c.now)
+	if a := j.attempts[task]; a != nil { // another attempt won: this one has no use
+		l.stop(a, 0)
+	}
+	l.settle(j)
+}
+
+// settle classifies a job; when nothing is pending, running or in force, its
+// final record is due.
+func (l *lead) settle(j *job) {
+	if j.over || len(j.attempts) > 0 {
+		return
+	}
+	if j.state.Count(reduction.Pending) == 0 && j.state.Count(reduction.Running) == 0 {
+		j.mark(l.c.now)
+	}
+}
+
+// flush writes what is dirty, oldest first: one conditional write per job and
+// round, under the budget.
+func (l *lead) flush() {
+	if !l.c.now.Before(l.authority) {
+		return // under promises alone nothing can be written
+	}
+	var due []*job
+	for _, j := range l.order {
+		if j.dirty && j.write == nil && !l.c.now.Before(j.holdUntil) {
+			due = append(due, j)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *job) int { return a.dirtyAt.Compare(b.dirtyAt) })
+	for _, j := range due {
+		w := l.compose(j)
+		if w == nil {
+			continue
+		}
+		if !l.writes.AllowN(l.c.now, min(len(w.txn.Then), l.writes.Burst())) {
+			l.c.after(20*time.Millisecond, func() {})
+			return
+		}
+		j.write = w
+		l.send(j)
+	}
+	l.sweep()
+}
+
+// compose makes the write that is due for a job; nil: nothing is.
+func (l *lead) compose(j *job) *write {
+	w := &write{id: l.c.rng.Uint64() >> 1} // no other leader's write may look like ours
+	w.txn.If = []wire.Cond{l.mine(), {Key: headerKey(j.id), Version: l.c.control.versions[headerKey(j.id)]}}
+	settled, _ := reduction.Classify(j.graph, j.state)
+	switch {
+	case settled == reduction.Settled && len(j.attempts) == 0:
+		l.composeFinal(j, w)
+		return w
+	case j.cancelled:
+		j.dirty = false // nothing but the end is worth a write
+		return nil
+	}
+	budget, size := l.c.cfg.Facts.State.TxnOps, 0
+	for n := range j.chunks {
+		if !j.chunks[n].dirty || len(w.chunks) >= budget || size > 40<<10 {
+			continue
+		}
+		rec, as := l.chunkRecord(j, n, w.id)
+		key := chunkKey(j.id, n)
+		w.txn.If = append(w.txn.If, wire.Cond{Key: key, Version: j.chunks[n].version})
+		change := put(key, rec)
+		size += 2 * len(change.Value)
+		w.txn.Then = append(w.txn.Then, change)
+		w.chunks = append(w.chunks, n)
+		w.attempts = append(w.attempts, as...)
+		j.chunks[n].dirty = false
+	}
+	if len(w.chunks) == 0 {
+		j.dirty = false
+		return nil
+	}
+	return w
+}
+
+// composeFinal moves the job from its header to its final record.
+func (l *lead) composeFinal(j *job, w *write) {
+	w.final = &finalRecord{Cancelled: j.cancelled, Tasks: j.spec.Tasks}
+	w.txn.Then = []wire.Change{put(finalKey(j.id), *w.final), {Delete: headerKey(j.id)}}
+	for n := range j.chunks {
+		if j.chunks[n].version == 0 {
+			continue
+		}
+		key := chunkKey(j.id, n)
+		if len(w.txn.Then) < l.c.cfg.Facts.State.TxnOps {
+			w.txn.Then = append(w.txn.Then, wire.Change{Delete: key})
+		} else {
+			l.orphans = append(l.orphans, key)
+		}
+	}
+}
+
+// chunkRecord encodes chunk n and lists its attempts that are not recorded yet.
+func (l *lead) chunkRecord(j *job, n int, id uint64) (taskRecord, []*attempt) {
+	rec := taskRecord{Write: id, Next: j.chunks[n].next}
+	var fresh []*attempt
+	for t := n * j.per; t < min((n+1)*j.per, j.spec.Tasks); t++ {
+		if j.state.Status(t) == reduction.Completed {
+			if k := len(rec.Done); k > 0 && rec.Done[k-1][1] == t-1 {
+				rec.Done[k-1][1] = t
+			} else {
+				rec.Done = append(rec.Done, [2]int{t, t})
+			}
+		}
+		if a := j.attempts[t]; a != nil {
+			rec.Placed = append(rec.Placed, placedRecord{t, a.number, a.machine.id, a.session, a.machine.zone})
+			if !a.recorded {
+				fresh = append(fresh, a)
+			}
+		}
+	}
+	return rec, fresh
+}
+
+// send sends a job's write. While it is in doubt it is sent again unchanged: of
+// two copies with the same conditions at most one is applied.
+func (l *lead) send(j *job) {
+	c, w := l.c, j.write
+	c.state(StateCall{Op: OpTxn, Txn: w.txn, Timeout: leadCallTimeout}, func(r StateReply) {
+		if c.lead != l || j.write != w {
+			return
+		}
+		switch {
+		case r.Status == http.StatusOK:
+			l.confirm(j, r.Txn.Revision)
+		case r.Status == http.StatusConflict:
+			l.reread(j)
+		case r.Status == 0 || w.doubt:
+			w.doubt = true
+			c.after(retryPause, func() { l.resend(j, w) })
+		default: // it did not run
+			if r.Status == http.StatusBadRequest {
+				c.log(slog.LevelError, "write refused", "job", j.id, "error", r.Txn.Error)
+			}
+			l.discard(j)
+		}
+	})
+}
+
+func (l *lead) resend(j *job, w *write) {
+	if l.c.lead == l && j.write == w {
+		l.send(j)
+	}
+}
+
+// confirm takes in that a job's write was applied.
+func (l *lead) confirm(j *job, revision uint64) {
+	w := j.write
+	j.write = nil
+	if w.final != nil {
+		l.forgetJob(j, *w.final)
+		return
+	}
+	clean := true
+	for _, n := range w.chunks {
+		j.chunks[n].version = revision
+	}
+	for n := range j.chunks {
+		clean = clean && !j.chunks[n].dirty
+	}
+	if clean {
+		j.dirty = false
+		l.settle(j)
+	} else {
+		j.dirtyAt = l.c.now
+	}
+	for _, a := range w.attempts {
+		a.recorded = true
+		switch {
+		case j.attempts[a.task] != a:
+		case j.cancelled || a.stopping:
+			l.gone(a, reduction.Reset, "never sent")
+		default:
+			a.machine.outbox = append(a.machine.outbox, a)
+		}
+	}
+}
+
+func (l *lead) forgetJob(j *job, f finalRecord) {
+	j.over = true
+	delete(l.jobs, j.id)
+	l.order = slices.DeleteFunc(l.order, func(o *job) bool { return o == j })
+	l.c.final.add(j.id, f)
+	delete(l.told, j.id)
+	if f.Cancelled {
+		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "cancelled")
+	} else {
+		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "done", "after", l.c.now.Sub(j.accepted))
+	}
+}
+
+// discard gives up a write that did not run; what it held is dirty again.
+func (l *lead) discard(j *job) {
+	for _, n := range j.write.chunks {
+		j.chunks[n].dirty = true
+	}
+	j.write = nil
+	j.dirty = true
+	j.holdUntil = l.c.now.Add(retryPause / 2)
+	l.c.after(retryPause/2, func() {})
+	if j.cancelled {
+		l.cancel(j)
+		l.settle(j)
+	}
+}
+
+// reread settles a write that a condition failed: either an earlier copy of it
+// was applied, or the records have changed under it.
+func (l *lead) reread(j *job) {
+	c, w := l.c, j.write
+	again := func() {
+		if c.lead == l && j.write == w {
+			l.reread(j)
+		}
+	}
+	c.sync(func(ok bool) {
+		if c.lead != l || j.write != w {
+			return
+		}
+		if !ok {
+			c.after(retryPause, again)
+			return
+		}
+		c.readAll(taskPrefix+j.id+"/", leadCallTimeout, func(items []wire.Item, _ uint64, ok bool) {
+			if c.lead != l || j.write != w {
+				return
+			}
+			if !ok {
+				c.after(retryPause, again)
+				return
+			}
+			l.resolve(j, items)
+		})
+	})
+}
+
+func (l *lead) resolve(j *job, items []wire.Item) {
+	w := j.write
+	if w.final != nil && l.c.control.headers[j.id] == nil {
+		l.confirm(j, 0)
+		return
+	}
+	for _, it := range items {
+		_, n, ok := splitChunk(it.Key)
+		rec := decode[taskRecord](it.Value)
+		if !ok || rec == nil || n >= len(j.chunks) {
+			continue
+		}
+		if rec.Write == w.id && slices.Contains(w.chunks, n) {
+			l.confirm(j, it.Version)
+			return
+		}
+	}
+	l.discard(j)
+}
+
+// sweep removes task records whose job is over, a transaction at a time.
+func (l *lead) sweep() {
+	n := min(len(l.orphans), l.c.cfg.Facts.State.TxnOps)
+	if n == 0 || !l.writes.AllowN(l.c.now, n) {
+		return
+	}
+	batch := l.orphans[:n]
+	l.orphans = l.orphans[n:]
+	txn := wire.Txn{If: []wire.Cond{l.mine()}}
+	for _, key := range batch {
+		txn.Then = append(txn.Then, wire.Change{Delete: key})
+	}
+	l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(r StateReply) {
+		if l.c.lead == l && r.Status != http.StatusOK && r.Status != http.StatusConflict {
+			l.orphans = append(l.orphans, batch...)
+		}
+	})
+}
--- /dev/null
+++ b/controller/leader.go
@@ -0,0 +1,275 @@
+package controller
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pumicefront/wire"
+)
+
+// lead is what a controller knows and does as leader; it goes when another one
+// leads. Authority may lapse and come back meanwhile (see entitled).
+type lead struct {
+	c         *Core
+	token     uint64
+	version   uint64 // of the leader key: the condition of every write
+	lease     uint64
+	elected   time.Time
+	authority time.Time // until when the state service's lease is ours for sure
+	recovered bool
+
+	jobs     map[string]*job
+	order    []*job // by acceptance
+	machines map[string]*machine
+	released map[string]time.Time
+	orphans  []string // task records whose job is over
+	writes   *rate.Limiter
+	placeAt  time.Time // when the next round of placement is due; zero: none
+	bumpedAt time.Time
+	bumping  bool
+	unknown  map[string]wire.Report // reports that came before the records were read
+
+	fleet    fleet
+	talkedAt time.Time
+	told     map[string]jobCount
+}
+
+const (
+	authorityMargin = 50 * time.Millisecond
+	bumpPause       = 8 * time.Second
+	bumpForget      = 30 * time.Second
+	bumpCancelled   = 4 * time.Second
+)
+
+// entitled tells whether this controller may act for the controllers now. It is
+// asked at every output of the leader.
+func (c *Core) entitled() bool {
+	return c.lead != nil && (c.now.Before(c.lead.authority) || c.promised())
+}
+
+// leaderName returns who leads as far as known, or "".
+func (c *Core) leaderName() string {
+	if c.control.leader == nil || c.control.leader.Member == c.cfg.Member {
+		return ""
+	}
+	return c.control.leader.Member
+}
+
+// pursueLeadership claims the leadership when nobody holds it, and ends what an
+// earlier process of this member, or a claim in doubt, has left behind.
+func (c *Core) pursueLeadership() {
+	if !c.control.loaded || c.claiming || c.lead != nil {
+		return
+	}
+	if l := c.control.leader; l != nil {
+		if l.Member == c.cfg.Member && !c.now.Before(c.endAfter) {
+			c.endAfter = c.now.Add(2 * retryPause)
+			c.endLease(l.Lease)
+		}
+		return
+	}
+	if c.now.Before(c.claimAfter) || c.promiseBinds() {
+		return
+	}
+	c.claiming = true
+	sent := c.now
+	c.state(StateCall{Op: OpGrant, Life: c.op.LeaderLifetime(), Timeout: userCallTimeout}, func(r StateReply) {
+		if r.Status != http.StatusOK {
+			c.claimFailed()
+			return
+		}
+		c.claim(sent, r.Grant.Lease)
+	})
+}
+
+func (c *Core) endLease(lease uint64) {
+	c.state(StateCall{Op: OpEnd, Lease: lease, Timeout: userCallTimeout}, func(StateReply) {})
+}
+
+func (c *Core) claimFailed() {
+	c.claiming = false
+	c.claimAfter = c.now.Add(retryPause + time.Duration(c.rng.Int64N(int64(retryPause))))
+}
+
+// claim tries to become leader with a lease granted at sent, and takes the next
+// token in the same transaction.
+func (c *Core) claim(sent time.Time, lease uint64) {
+	token := c.control.token + 1
+	set := put(leaderKey, leaderRecord{c.cfg.Member, c.inc, lease})
+	set.Lease = lease
+	txn := wire.Txn{
+		If:   []wire.Cond{{Key: leaderKey}, {Key: tokenKey, Version: c.control.versions[tokenKey]}},
+		Then: []wire.Change{set, put(tokenKey, tokenRecord{token})},
+	}
+	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(r StateReply) {
+		if r.Status != http.StatusOK {
+			// In doubt it may still be applied: without its lease it can't stay.
+			c.endLease(lease)
+			c.claimFailed()
+			return
+		}
+		c.claiming = false
+		c.becomeLeader(sent, lease, token, r.Txn.Revision)
+		c.applyControl(wire.Event{Put: tokenKey, Value: txn.Then[1].Value, Version: r.Txn.Revision})
+		c.applyControl(wire.Event{Put: leaderKey, Value: set.Value, Version: r.Txn.Revision})
+	})
+}
+
+func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
+	st := c.cfg.Facts.State
+	l := &lead{
+		c: c, token: token, version: version, lease: lease, elected: c.now,
+		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
+		writes:  rate.NewLimiter(rate.Limit(st.WriteRPS*0.6), max(2, int(st.WriteRPS*0.4))),
+		unknown: map[string]wire.Report{}, told: map[string]jobCount{}, bumpedAt: c.now,
+	}
+	l.fleet.init()
+	c.lead = l
+	l.extend(sent)
+	c.log(slog.LevelInfo, "leading", "token", token)
+	l.renewLater()
+	l.recover()
+}
+
+// extend counts the authority from before the renewal was sent, less what the
+// clocks may drift apart.
+func (l *lead) extend(sent time.Time) {
+	life := l.c.op.LeaderLifetime()
+	until := sent.Add(life - time.Duration(float64(life)*clockDrift) - authorityMargin)
+	if until.After(l.authority) {
+		l.authority = until
+	}
+}
+
+func (l *lead) renewLater() {
+	l.c.after(l.c.op.LeaderLifetime()/4, func() {
+		if l.c.lead != l {
+			return
+		}
+		l.renew()
+		l.renewLater()
+	})
+}
+
+func (l *lead) renew() {
+	c, sent := l.c, l.c.now
+	c.state(StateCall{Op: OpTouch, Lease: l.lease, Timeout: c.op.LeaderLifetime()}, func(r StateReply) {
+		if c.lead != l {
+			return
+		}
+		switch r.Status {
+		case http.StatusOK:
+			l.extend(sent)
+		case http.StatusNotFound:
+			c.stepDown("lease ended")
+		}
+	})
+}
+
+func (c *Core) stepDown(why string) {
+	c.log(slog.LevelInfo, "no longer leading", "token", c.lead.token, "why", why)
+	c.lead = nil
+	c.claimAfter = c.now
+}
+
+// leaderChanged is called when the watched leader key has changed.
+func (c *Core) leaderChanged() {
+	if c.lead == nil {
+		return
+	}
+	if c.control.leader == nil || c.control.versions[leaderKey] != c.lead.version {
+		c.stepDown("leader key changed")
+	}
+}
+
+// tokenChanged takes over a raised token: while the leader key is ours, nobody
+// else raises it, so even a raise whose answer was lost is ours.
+func (c *Core) tokenChanged() {
+	if c.lead != nil && c.control.token > c.lead.token {
+		c.lead.token = c.control.token
+	}
+}
+
+// mine is the condition that this controller still leads.
+func (l *lead) mine() wire.Cond { return wire.Cond{Key: leaderKey, Version: l.version} }
+
+// raiseToken fences all commands sent so far: once a worker has seen the new
+// token, no earlier copy of a command can run there any more.
+func (l *lead) raiseToken(why string) {
+	if l.bumping || l.c.now.Sub(l.bumpedAt) < bumpPause {
+		return
+	}
+	l.bumping = true
+	l.bumpedAt = l.c.now
+	c := l.c
+	txn := wire.Txn{
+		If:   []wire.Cond{l.mine(), {Key: tokenKey, Version: c.control.versions[tokenKey]}},
+		Then: []wire.Change{put(tokenKey, tokenRecord{l.token + 1})},
+	}
+	c.log(slog.LevelDebug, "raising token", "token", l.token+1, "why", why)
+	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(r StateReply) {
+		if c.lead != l {
+			return
+		}
+		l.bumping = false
+		if r.Status == http.StatusOK {
+			c.applyControl(wire.Event{Put: tokenKey, Value: txn.Then[0].Value, Version: r.Txn.Revision})
+		}
+	})
+}
+
+// recover reads the records that the earlier leader left: first the headers, as
+// new as our election, then the task records, which only we write now.
+func (l *lead) recover() {
+	c := l.c
+	c.sync(func(ok bool) {
+		if c.lead != l {
+			return
+		}
+		if !ok {
+			c.after(retryPause, l.recoverAgain)
+			return
+		}
+		c.readAll(hirePrefix, leadCallTimeout, func(hires []wire.Item, _ uint64, ok bool) {
+			if c.lead != l {
+				return
+			}
+			if !ok {
+				c.after(retryPause, l.recoverAgain)
+				return
+			}
+			c.readAll(taskPrefix, leadCallTimeout, func(items []wire.Item, _ uint64, ok bool) {
+				if c.lead != l {
+					return
+				}
+				if !ok {
+					c.after(retryPause, l.recoverAgain)
+					return
+				}
+				l.rebuild(items, hires)
+			})
+		})
+	})
+}
+
+func (l *lead) recoverAgain() {
+	if l.c.lead == l {
+		l.recover()
+	}
+}
+
+// run is the leader's part of every step.
+func (l *lead) run() {
+	if !l.recovered {
+		return
+	}
+	l.prove()
+	l.place()
+	l.flush()
+	l.sendCommands()
+	l.runFleet()
+	l.talk()
+}
--- /dev/null
+++ b/controller/machines.go
@@ -0,0 +1,388 @@
+package controller
+
+import (
+	"cmp"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/reduction"
+	"pumicefront/wire"
+)
+
+// taskKey names one attempt of one task.
+type taskKey struct {
+	task    string
+	attempt uint64
+}
+
+func (a *attempt) key() taskKey { return taskKey{a.taskID(), a.number} }
+
+// machine is a machine in the leader's ledger: rented, reporting, or known only
+// from an earlier leader's placements.
+type machine struct {
+	id, addr, typ, zone string
+	spot                bool
+	up                  bool // has reported to us
+	session, seq, token uint64
+	since               time.Time // rented or first known
+	reported            time.Time // its last report or answer
+	answered            time.Time // our last 200, which may have renewed its lease
+	idle                time.Time // without tasks since
+	notice              bool
+	releasing           bool
+	leaseOut            bool
+
+	attempts map[taskKey]*attempt
+	runToken map[taskKey]uint64 // highest token that a run was sent with
+	ended    map[taskKey]time.Time
+	strays   map[taskKey]string // live attempts that are in nobody's record
+	images   map[string]bool
+	faults   map[string]bool // jobs that failed here
+	outbox   []*attempt
+	stops    []wire.Command
+	calling  bool
+}
+
+// machine returns the ledger's entry, made when it is first heard of.
+func (l *lead) machine(id string) *machine {
+	m := l.machines[id]
+	if m == nil {
+		m = &machine{
+			id: id, since: l.c.now, idle: l.c.now, answered: l.elected,
+			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, ended: map[taskKey]time.Time{},
+			strays: map[taskKey]string{}, images: map[string]bool{}, faults: map[string]bool{},
+		}
+		l.machines[id] = m
+	}
+	return m
+}
+
+// report answers a worker. Only a leader with authority may do so with 200.
+func (c *Core) report(r ReportRequest) {
+	l := c.lead
+	if !c.entitled() {
+		c.answer(r.Req, http.StatusMisdirectedRequest, wire.Redirect{Leader: c.leaderName()})
+		return
+	}
+	rep := r.Report
+	if _, gone := l.released[rep.Machine]; gone || rep.Token > l.token {
+		c.later(r.Req, "machine released or token outdated")
+		return
+	}
+	m := l.machine(rep.Machine)
+	if m.up && !rep.Newer(m.session, m.seq) {
+		c.later(r.Req, "stale report") // a delayed copy: it says nothing about now
+		return
+	}
+	// The answer renews the lease: this is counted before the answer goes out.
+	m.answered, m.leaseOut = c.now, false
+	if !l.recovered {
+		l.unknown[rep.Machine] = rep
+		c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token})
+		return
+	}
+	l.apply(m, &rep)
+	c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token, Commands: l.commands(m)})
+}
+
+// apply takes in what a worker says of its machine.
+func (l *lead) apply(m *machine, rep *wire.Report) {
+	c := l.c
+	if m.up && !rep.Newer(m.session, m.seq) {
+		return
+	}
+	if !m.up {
+		c.log(slog.LevelInfo, "machine up", "machine", m.id, "type", rep.Type, "zone", rep.Zone, "spot", rep.Spot, "after", c.now.Sub(m.since))
+		l.wantPlacement()
+	} else if rep.Session > m.session {
+		c.log(slog.LevelInfo, "machine's lease ran out", "machine", m.id, "session", rep.Session)
+		clear(m.images)
+	}
+	m.up, m.addr, m.typ, m.zone, m.spot = true, rep.Addr, rep.Type, rep.Zone, rep.Spot
+	m.session, m.seq, m.token, m.reported = rep.Session, rep.Seq, rep.Token, c.now
+	if notice := rep.NoticeS != nil; notice != m.notice {
+		m.notice = notice
+		c.log(slog.LevelInfo, "machine will be taken", "machine", m.id)
+		l.drain(m)
+	}
+	listed := map[taskKey]bool{}
+	clear(m.strays)
+	for _, t := range rep.Tasks {
+		k := taskKey{t.ID, t.Attempt}
+		listed[k] = true
+		l.applyTask(m, k, t)
+	}
+	for k := range m.ended {
+		if !listed[k] {
+			delete(m.ended, k)
+			delete(m.runToken, k)
+		}
+	}
+	for _, a := range m.sorted() {
+		if !listed[a.key()] {
+			l.absent(a)
+		}
+	}
+	if len(m.attempts)+len(m.strays) > 0 {
+		m.idle = c.now
+	}
+}
+
+func (m *machine) sorted() []*attempt {
+	as := make([]*attempt, 0, len(m.attempts))
+	for _, a := range m.attempts {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.task, b.task))
+	})
+	return as
+}
+
+// applyTask takes in one line of a report.
+func (l *lead) applyTask(m *machine, k taskKey, t wire.Task) {
+	id, n, ok := wire.SplitTask(t.ID)
+	a := m.attempts[k]
+	if t.State != wire.TaskExited {
+		switch {
+		case a != nil:
+			l.alive(a, t.State)
+		default:
+			m.strays[k] = t.State
+		}
+		return
+	}
+	if _, seen := m.ended[k]; !seen {
+		m.ended[k] = l.c.now
+	}
+	if a != nil {
+		l.exited(a, t.Why)
+		return
+	}
+	// A finish is a fact whichever attempt it came from.
+	if j := l.jobs[id]; ok && j != nil && t.Why == wire.WhyDone && n < j.spec.Tasks && j.spec.Kind != wire.KindService {
+		l.finish(j, n)
+	}
+}
+
+// alive adopts an attempt that a report shows on its machine.
+func (l *lead) alive(a *attempt, state string) {
+	a.seen = true
+	a.job.state.Start(a.task)
+	if state == wire.TaskRunning && !a.running {
+		a.running, a.since = true, l.c.now
+		a.machine.images[a.job.spec.Image] = true
+		l.c.log(slog.LevelDebug, "task running", "job", a.job.id, "task", a.task, "attempt", a.number,
+			"machine", a.machine.id, "after", l.c.now.Sub(a.placed))
+	}
+}
+
+// exited takes in that an attempt has ended, which proves it gone.
+func (l *lead) exited(a *attempt, why string) {
+	j, m := a.job, a.machine
+	switch {
+	case why == wire.WhyDone && j.spec.Kind != wire.KindService:
+		m.images[j.spec.Image] = true
+		delete(j.fails, a.task)
+		l.gone(a, reduction.Succeeded, why)
+		return
+	case why == wire.WhyError:
+		j.avoid[m.id] = true
+		m.faults[j.id] = true
+		if len(j.avoid) >= max(2, len(l.machines)/2) {
+			clear(j.avoid) // it fails everywhere: any machine is as good
+		}
+	}
+	if why != wire.WhyStopped {
+		// A reset outcome: tried again, later each time. An accepted job is never given up.
+		n := min(j.fails[a.task], 5)
+		j.fails[a.task]++
+		j.retryAt[a.task] = l.c.now.Add(500 * time.Millisecond << n)
+		l.c.after(500*time.Millisecond<<n, l.wantPlacement)
+	}
+	l.gone(a, reduction.Reset, why)
+}
+
+// absent takes in that a report does not list an attempt. That proves it gone
+// only when no copy of its run can still arrive: the worker is in a newer
+// session, or has seen a token above all that the run was sent with.
+func (l *lead) absent(a *attempt) {
+	m := a.machine
+	if m.session > a.session || m.token > a.token && a.sent {
+		l.gone(a, reduction.Reset, "not on its machine")
+	}
+}
+
+// commands lists what a report's answer tells the worker.
+func (l *lead) commands(m *machine) []wire.Command {
+	var cs []wire.Command
+	for _, a := range m.sorted() {
+		if a.stopping {
+			cs = append(cs, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: a.grace})
+		} else if a.recorded && !a.seen && l.mayRun(a) {
+			cs = append(cs, l.runCommand(a))
+		}
+	}
+	for k := range m.strays {
+		cs = append(cs, wire.Command{Op: wire.OpStop, Task: k.task, Attempt: k.attempt})
+	}
+	for k := range m.ended {
+		if l.forgettable(m, k) {
+			cs = append(cs, wire.Command{Op: wire.OpForget, Task: k.task, Attempt: k.attempt})
+		}
+	}
+	slices.SortStableFunc(cs, func(a, b wire.Command) int { return cmp.Compare(a.Task, b.Task) })
+	const most = 400 // keeps the answer far below 64 KiB; the rest follows with the next report
+	return cs[:min(len(cs), most)]
+}
+
+// mayRun tells whether an attempt's run may be sent now.
+func (l *lead) mayRun(a *attempt) bool {
+	return a.recorded && !a.stopping && !a.job.cancelled && a.session == a.machine.session && !a.machine.releasing
+}
+
+func (l *lead) runCommand(a *attempt) wire.Command {
+	a.sent = true
+	a.token = l.token
+	a.machine.runToken[a.key()] = l.token
+	return wire.Command{Op: wire.OpRun, Task: a.taskID(), Attempt: a.number}
+}
+
+// forgettable tells whether a worker may forget an ended attempt: its outcome is
+// recorded, and the worker refuses every copy of its run that may still be on
+// its way because it has seen a higher token.
+func (l *lead) forgettable(m *machine, k taskKey) bool {
+	if m.attempts[k] != nil || m.token <= m.runToken[k] || m.token != l.token {
+		return false
+	}
+	id, _, _ := wire.SplitTask(k.task)
+	j := l.jobs[id]
+	return j == nil || !j.dirty && j.write == nil
+}
+
+// stop makes an attempt stop; it stays in force until it is proved gone.
+func (l *lead) stop(a *attempt, grace float64) {
+	if a.stopping && a.grace <= grace {
+		return
+	}
+	if !a.stopping {
+		a.stoppedA = l.c.now
+	}
+	a.stopping, a.grace = true, grace
+	if a.sent {
+		a.machine.stops = append(a.machine.stops, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: grace})
+	}
+}
+
+// sendCommands sends directly what can't wait for the next report. A command
+// without an answer may still run; the attempt stays in force either way.
+func (l *lead) sendCommands() {
+	for _, m := range l.machineOrder() {
+		if m.calling || len(m.outbox)+len(m.stops) == 0 {
+			continue
+		}
+		cs := m.stops
+		for _, a := range m.outbox {
+			if l.mayRun(a) && !a.seen && a.job.attempts[a.task] == a {
+				cs = append(cs, l.runCommand(a))
+			}
+		}
+		m.outbox, m.stops = nil, nil
+		if len(cs) > 0 && m.up && !m.releasing {
+			l.command(m, cs)
+		}
+	}
+}
+
+func (l *lead) command(m *machine, cs []wire.Command) {
+	m.calling = true
+	body := wire.Commands{Token: l.token, Session: m.session, Commands: cs}
+	l.c.worker(WorkerCall{Machine: m.id, Addr: m.addr, Commands: body}, func(r WorkerReply) {
+		if l.c.lead != l || l.machines[m.id] != m {
+			return
+		}
+		m.calling = false
+		if r.Status == 0 || r.Report.Machine != m.id {
+			return
+		}
+		l.apply(m, &r.Report)
+		if r.Status == http.StatusConflict && r.Report.Token <= l.token {
+			// Refused for an older token or session: what is still wanted goes again.
+			for _, a := range m.sorted() {
+				if !a.seen && a.recorded {
+					m.outbox = append(m.outbox, a)
+				}
+			}
+		}
+	})
+}
+
+func (l *lead) machineOrder() []*machine {
+	ms := make([]*machine, 0, len(l.machines))
+	for _, m := range l.machines {
+		ms = append(ms, m)
+	}
+	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
+	return ms
+}
+
+// leaseEnd is when a machine's lease has run out for sure, by our clock.
+func (l *lead) leaseEnd(m *machine) time.Time {
+	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS * (1 + 2*clockDrift))
+	return m.answered.Add(lease + 200*time.Millisecond)
+}
+
+// prove looks for attempts that time has proved gone, and for what only a
+// raised token can settle.
+func (l *lead) prove() {
+	now := l.c.now
+	for _, m := range l.machineOrder() {
+		if !m.leaseOut && now.After(l.leaseEnd(m)) {
+			m.leaseOut = true
+			if len(m.attempts) > 0 {
+				l.c.log(slog.LevelInfo, "machine lost", "machine", m.id, "tasks", len(m.attempts))
+			}
+			for _, a := range m.sorted() {
+				l.gone(a, reduction.Reset, "lease ran out")
+			}
+		}
+		for k, since := range m.ended {
+			if m.runToken[k] >= l.token && now.Sub(since) > bumpForget {
+				l.raiseToken("ended attempts to forget")
+			}
+		}
+		for _, a := range m.attempts {
+			if a.stopping && !a.seen && now.Sub(a.stoppedA) > bumpCancelled && a.token >= l.token {
+				l.raiseToken("stopped attempt in doubt")
+			}
+		}
+	}
+}
+
+// silent tells whether a machine has not been heard of for too long to be given
+// new work.
+func (l *lead) silent(m *machine) bool {
+	return l.c.now.Sub(m.reported) > config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25)+time.Second
+}
+
+// drain moves what loses nothing, or can save, off a machine that will be taken.
+func (l *lead) drain(m *machine) {
+	for _, a := range m.sorted() {
+		j := a.job.spec
+		if j.Kind == wire.KindService || j.CheckpointS > 0 {
+			l.stop(a, graceOf(&j))
+		}
+	}
+	l.wantPlacement()
+}
+
+// graceOf is the time that a stopped task gets to save.
+func graceOf(j *wire.Job) float64 {
+	if j.CheckpointS == 0 {
+		return 0
+	}
+	return j.SaveS*1.5 + 1
+}
--- /dev/null
+++ b/controller/record.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+
+	"pumicefront/wire"
+)
+
+// Keys of the state service. Everything under controlPrefix is watched by every
+// controller; tasks and hires are read by a new leader alone.
+const (
+	controlPrefix = "c/"
+	leaderKey     = "c/leader"
+	tokenKey      = "c/token"
+	typesKey      = "c/types"
+	headerPrefix  = "c/j/"
+	finalPrefix   = "f/"
+	taskPrefix    = "t/"
+	hirePrefix    = "h/"
+)
+
+// leaderRecord says who leads.
+type leaderRecord struct {
+	Member string `cbor:"m"`
+	Inc    uint64 `cbor:"i"`
+	Lease  uint64 `cbor:"l"`
+}
+
+// tokenRecord is the counter that tokens come from.
+type tokenRecord struct {
+	Token uint64 `cbor:"n"`
+}
+
+// headerRecord is the record of an unfinished job. Any controller creates and
+// cancels it; only the leader removes it.
+type headerRecord struct {
+	Job        wire.Job `cbor:"j"`
+	Cancelled  bool     `cbor:"x,omitempty"`
+	AcceptedMS int64    `cbor:"t"`
+	PerChunk   int      `cbor:"per"` // tasks in each of its task records
+}
+
+// finalRecord is what is kept of a job that is over.
+type finalRecord struct {
+	Cancelled bool `cbor:"x,omitempty"`
+	Tasks     int  `cbor:"n"`
+}
+
+// taskRecord holds a run of a job's tasks: those completed, as ranges, and the
+// attempts in force.
+type taskRecord struct {
+	Write  uint64         `cbor:"w"` // tells the writes of one leader apart
+	Next   uint64         `cbor:"n"` // the last attempt number given
+	Done   [][2]int       `cbor:"d,omitempty"`
+	Placed []placedRecord `cbor:"p,omitempty"`
+}
+
+// placedRecord is an attempt in force.
+type placedRecord struct {
+	Task    int    `cbor:"t"`
+	Attempt uint64 `cbor:"a"`
+	Machine string `cbor:"m"`
+	Session uint64 `cbor:"s"`
+	Zone    string `cbor:"z"` // constraints are checked before the machine reports again
+}
+
+// hireRecord is a rental request, written before it is made.
+type hireRecord struct {
+	Rent wire.Rent `cbor:"r"`
+}
+
+func headerKey(job string) string { return headerPrefix + job }
+func finalKey(job string) string  { return finalPrefix + job }
+
+func chunkKey(job string, chunk int) string { return fmt.Sprintf("%s%s/%06d", taskPrefix, job, chunk) }
+
+// splitChunk takes a task record's key apart.
+func splitChunk(key string) (job string, chunk int, ok bool) {
+	job, num, found := strings.Cut(strings.TrimPrefix(key, taskPrefix), "/")
+	if !found {
+		return "", 0, false
+	}
+	_, err := fmt.Sscanf(num, "%d", &chunk)
+	return job, chunk, err == nil
+}
+
+// perChunk is how many tasks go into one task record so that it stays within
+// the largest value: a placement takes up to 60 bytes of it.
+func perChunk(valueKB float64) int { return max(1, int(valueKB*1024/80)) }
+
+func put(key string, v any) wire.Change { return wire.Change{Put: key, Value: wire.Marshal(v)} }
--- /dev/null
+++ b/controller/rounds.go
@@ -0,0 +1,275 @@
+package controller
+
+import (
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"pumicefront/mesh"
+	"pumicefront/reduction"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// roundPause gathers what happens close together into one round of placement.
+const roundPause = 5 * time.Millisecond
+
+// wantPlacement asks for a round soon.
+func (l *lead) wantPlacement() {
+	if l.placeAt.IsZero() {
+		l.placeAt = l.c.now.Add(roundPause)
+		l.c.after(roundPause, func() {})
+	}
+}
+
+// place runs a round: it classifies every job, orders what is on the frontiers,
+// and places it class by class.
+func (l *lead) place() {
+	if l.placeAt.IsZero() || l.c.now.Before(l.placeAt) || len(l.c.types) == 0 || !l.c.now.Before(l.authority) {
+		return
+	}
+	l.placeAt = time.Time{}
+	demands := l.demands()
+	if len(demands) == 0 {
+		return
+	}
+	scheduler.Order(demands)
+	machines := l.view(false)
+	used := l.teamUse()
+	full := map[classKey]bool{}
+	for _, d := range demands {
+		d.RoomInTeam = l.roomInTeam(d, used)
+		key := keyOf(d)
+		if d.RoomInTeam == 0 || full[key] {
+			continue
+		}
+		placed := scheduler.Place(machines, d)
+		for _, p := range placed {
+			l.assign(d, p)
+			used[d.Team] = used[d.Team].Add(d.Each, 1)
+		}
+		if missing := min(len(d.Tasks), d.RoomInTeam) - len(placed); missing > 0 {
+			// No machine takes one more of these: that is decided for the class.
+			full[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
+			l.preempt(machines, d, missing)
+		}
+	}
+}
+
+// classKey tells like demands: one that finds no room speaks for all.
+type classKey struct {
+	class, team, zone, types string
+	each                     scheduler.Resources
+	spot                     bool
+	rank                     int
+	within                   bool
+}
+
+func keyOf(d *scheduler.Demand) classKey {
+	types := ""
+	for _, t := range d.Types {
+		types += t + " "
+	}
+	return classKey{d.Class, d.Team, d.Zone, types, d.Each, d.Spot, d.Rank, d.Within}
+}
+
+// demands lists the frontiers of all jobs.
+func (l *lead) demands() []*scheduler.Demand {
+	var ds []*scheduler.Demand
+	earlier := map[string]scheduler.Resources{}
+	for _, j := range l.order {
+		if j.cancelled {
+			continue
+		}
+		within := l.within(j, earlier)
+		if j.state.Count(reduction.Pending) == 0 {
+			continue
+		}
+		verdict, frontier := reduction.Classify(j.graph, j.state)
+		if verdict != reduction.Progressing {
+			continue
+		}
+		d := demandOf(&j.spec)
+		for _, t := range frontier {
+			if j.attempts[t] == nil && !l.c.now.Before(j.retryAt[t]) {
+				d.Tasks = append(d.Tasks, t)
+			}
+		}
+		if len(d.Tasks) == 0 {
+			continue
+		}
+		d.Within, d.AgeS, d.Avoid = within, l.c.now.Sub(j.accepted).Seconds(), j.avoid
+		for _, a := range j.attempts {
+			d.InZone[a.machine.zone]++
+		}
+		ds = append(ds, d)
+	}
+	return ds
+}
+
+// within tells whether a job fits into its team's guarantee together with the
+// team's earlier unfinished jobs, and adds it to those.
+func (l *lead) within(j *job, earlier map[string]scheduler.Resources) bool {
+	left := j.spec.Tasks - j.state.Count(reduction.Completed)
+	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(left))
+	earlier[j.spec.Team] = sum
+	t := l.c.team(j.spec.Team)
+	return t != nil && sum.CPUs <= t.CPUs+1e-6 && sum.GPUs <= t.GPUs+1e-6
+}
+
+// teamUse counts every attempt not proved gone.
+func (l *lead) teamUse() map[string]scheduler.Resources {
+	used := map[string]scheduler.Resources{}
+	for _, j := range l.order {
+		used[j.spec.Team] = used[j.spec.Team].Add(jobEach(&j.spec), float64(len(j.attempts)))
+	}
+	return used
+}
+
+func (l *lead) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
+	t := l.c.team(d.Team)
+	if t == nil {
+		return 0
+	}
+	room := scheduler.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax, MemoryGB: math.Inf(1)}.
+		Add(scheduler.Resources{CPUs: used[d.Team].CPUs, GPUs: used[d.Team].GPUs}, -1)
+	return room.Fits(d.Each)
+}
+
+// usable tells whether a machine may be given new work.
+func (l *lead) usable(m *machine) bool {
+	return m.up && !m.releasing && !m.notice && !m.leaseOut && !l.silent(m)
+}
+
+// view makes the scheduler's picture of the machines; with booting, those that
+// are not up yet count too.
+func (l *lead) view(booting bool) []*scheduler.Machine {
+	live := []string{l.c.cfg.Member}
+	for _, o := range l.c.cfg.Others {
+		live = append(live, o.Member)
+	}
+	slices.Sort(live)
+	borrowed := l.borrowed()
+	var ms []*scheduler.Machine
+	for _, m := range l.machineOrder() {
+		t, ok := l.c.types[m.typ]
+		if !ok || !l.usable(m) && !(booting && !m.up && !m.releasing) {
+			continue
+		}
+		s := &scheduler.Machine{
+			ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: scheduler.PartOf(m.id, live),
+			Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
+		}
+		if len(m.faults) >= 2 {
+			s.Penalty = 1
+		}
+		for k := range m.strays {
+			id, _, _ := wire.SplitTask(k.task)
+			if j := l.jobs[id]; j != nil {
+				s.Free = s.Free.Add(jobEach(&j.spec), -1)
+			} else {
+				s.Free = scheduler.Resources{} // nobody knows what it takes
+			}
+		}
+		for _, a := range m.sorted() {
+			l.occupy(s, a, borrowed)
+		}
+		ms = append(ms, s)
+	}
+	return ms
+}
+
+func (l *lead) occupy(s *scheduler.Machine, a *attempt, borrowed map[*job]bool) {
+	each := jobEach(&a.job.spec)
+	s.Free = s.Free.Add(each, -1)
+	if a.stopping {
+		s.Soon = s.Soon.Add(each, 1)
+		return
+	}
+	if !a.seen {
+		return // may be anywhere between here and there: not worth a stop
+	}
+	lost := 0.0
+	if a.running {
+		lost = l.c.now.Sub(a.since).Seconds()
+		if c := a.job.spec.CheckpointS; c > 0 {
+			lost = math.Min(lost, c)
+		}
+	}
+	s.Tasks = append(s.Tasks, scheduler.Victim{
+		Job: a.job.id, Task: a.task, Team: a.job.spec.Team, Rank: slices.Index(wire.Priorities, a.job.spec.Priority),
+		Borrowed: borrowed[a.job], Demand: each, LostS: lost,
+	})
+}
+
+// borrowed lists the jobs that run beyond their team's guarantee.
+func (l *lead) borrowed() map[*job]bool {
+	out := map[*job]bool{}
+	earlier := map[string]scheduler.Resources{}
+	for _, j := range l.order {
+		if !l.within(j, earlier) {
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// assign plans an attempt; its run is sent once the record is written.
+func (l *lead) assign(d *scheduler.Demand, p scheduler.Assignment) {
+	j, m := l.jobs[d.Job], l.machines[p.Machine.ID]
+	ch := &j.chunks[p.Task/j.per]
+	ch.next++
+	a := &attempt{job: j, task: p.Task, number: ch.next, machine: m, session: m.session, placed: l.c.now}
+	j.attempts[p.Task] = a
+	m.attempts[a.key()] = a
+	j.state.Start(p.Task)
+	j.touch(p.Task, l.c.now)
+	l.c.log(slog.LevelDebug, "placed", "job", j.id, "task", p.Task, "attempt", a.number, "machine", m.id,
+		"cached", m.images[j.spec.Image], "part", p.Machine.Part)
+}
+
+// preempt stops what has to give way for a demand; the room is taken by a later
+// round, once the stopped tasks are proved gone.
+func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int) {
+	if d.Rank > 0 && !d.Within {
+		return
+	}
+	for range min(missing, 32) {
+		victims, ok := scheduler.Preempt(machines, d)
+		if !ok {
+			return
+		}
+		for _, v := range victims {
+			a := l.jobs[v.Job].attempts[v.Task]
+			l.stop(a, graceOf(&a.job.spec))
+			l.c.log(slog.LevelInfo, "preempting", "job", v.Job, "task", v.Task, "machine", a.machine.id, "for", d.Job)
+		}
+	}
+}
+
+// talk tells the other controllers the counts of tasks, for display.
+func (l *lead) talk() {
+	const every = 500 * time.Millisecond
+	if l.c.now.Sub(l.talkedAt) < every {
+		return
+	}
+	l.talkedAt = l.c.now
+	var jobs []*mesh.JobProgress
+	for _, j := range l.order {
+		n := jobCount{done: j.state.Count(reduction.Completed)}
+		for _, a := range j.attempts {
+			if a.running {
+				n.running++
+			}
+		}
+		if l.told[j.id] != n {
+			l.told[j.id] = n
+			l.c.progress[j.id] = n
+			jobs = append(jobs, &mesh.JobProgress{Job: j.id, Done: uint32(n.done), Running: uint32(n.running)})
+		}
+	}
+	if len(jobs) > 0 {
+		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs}}})
+	}
+}
--- /dev/null
+++ b/controller/users.go
@@ -0,0 +1,240 @@
+package controller
+
+import (
+	"net/http"
+
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// finals remembers jobs that are over. A final state never changes, so it can
+// be told without asking the state service.
+type finals struct {
+	jobs  map[string]finalRecord
+	order []string
+}
+
+const maxFinals = 4096
+
+func (f *finals) init() { f.jobs = map[string]finalRecord{} }
+
+func (f *finals) add(job string, r finalRecord) {
+	if _, ok := f.jobs[job]; ok {
+		return
+	}
+	if len(f.order) >= maxFinals {
+		delete(f.jobs, f.order[0])
+		f.order = f.order[1:]
+	}
+	f.jobs[job] = r
+	f.order = append(f.order, job)
+}
+
+// known is what the state service has of a job.
+type known uint8
+
+const (
+	knownNot    known = iota // nobody submitted it
+	knownUnsure              // the state service gave no answer
+	knownActive
+	knownFinal
+)
+
+func (c *Core) user(r UserRequest) {
+	switch r.Op {
+	case UserReady:
+		c.ready(r)
+	case UserSubmit:
+		c.submit(r)
+	case UserPoll:
+		c.lookup(r.Job, func(k known) { c.tell(r, k, http.StatusNotFound) })
+	case UserAbort:
+		c.abort(r, 3)
+	}
+}
+
+// ready is a fresh read: what it says holds for the next request too.
+func (c *Core) ready(r UserRequest) {
+	c.sync(func(ok bool) {
+		if ok && len(c.types) > 0 {
+			c.answer(r.Req, http.StatusOK, struct{}{})
+			return
+		}
+		c.later(r.Req, "state service not reached or machine types not known")
+	})
+}
+
+// lookup finds out what the state service has of a job now.
+func (c *Core) lookup(job string, fn func(known)) {
+	if _, ok := c.final.jobs[job]; ok {
+		fn(knownFinal)
+		return
+	}
+	if !wire.ValidID(job) {
+		fn(knownNot)
+		return
+	}
+	c.sync(func(ok bool) {
+		switch {
+		case !ok:
+			fn(knownUnsure)
+		case c.control.headers[job] != nil:
+			fn(knownActive)
+		default:
+			c.lookupFinal(job, fn)
+		}
+	})
+}
+
+// lookupFinal is asked after the header was seen to be missing: a job moves from
+// its header to its final record in one transaction.
+func (c *Core) lookupFinal(job string, fn func(known)) {
+	if !c.reads.AllowN(c.now, 1) {
+		fn(knownUnsure)
+		return
+	}
+	c.state(StateCall{Op: OpGet, Key: finalKey(job), Timeout: userCallTimeout}, func(r StateReply) {
+		f := decode[finalRecord](r.Item.Value)
+		switch {
+		case r.Status == http.StatusOK && f != nil:
+			c.final.add(job, *f)
+			fn(knownFinal)
+		case r.Status == http.StatusNotFound:
+			fn(knownNot)
+		default:
+			fn(knownUnsure)
+		}
+	})
+}
+
+// tell answers with the job's state, or with unknown where nobody submitted it.
+func (c *Core) tell(r UserRequest, k known, unknown int) {
+	switch k {
+	case knownNot:
+		if unknown == http.StatusServiceUnavailable {
+			c.later(r.Req, "can't decide yet")
+			return
+		}
+		c.answer(r.Req, unknown, wire.Error{Error: "no such job"})
+	case knownUnsure:
+		c.later(r.Req, "state service not reached")
+	default:
+		c.answer(r.Req, http.StatusOK, c.jobState(r.Job))
+	}
+}
+
+func (c *Core) jobState(job string) wire.JobState {
+	s := wire.JobState{ID: job, State: wire.StateQueued}
+	if f, ok := c.final.jobs[job]; ok {
+		s.State, s.Done = wire.StateDone, f.Tasks
+		if f.Cancelled {
+			s.State, s.Done = wire.StateCancelled, 0
+		}
+		return s
+	}
+	n := c.progress[job]
+	s.Done, s.Running = n.done, n.running
+	if n.running > 0 {
+		s.State = wire.StateRunning
+	}
+	if h := c.control.headers[job]; h != nil && h.Cancelled {
+		s.State = wire.StateCancelled
+	}
+	return s
+}
+
+// submit accepts a job by creating its record, whoever leads. A job that is
+// known already is answered before anything else is judged.
+func (c *Core) submit(r UserRequest) {
+	job, id, err := wire.ParseJob(r.Body)
+	r.Job = id
+	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: perChunk(c.cfg.Facts.State.ValueKB)}
+	raw := wire.Marshal(h)
+	tooBig := float64(len(raw)) > c.cfg.Facts.State.ValueKB*1024*0.75
+	if err != nil || tooBig {
+		c.lookup(id, func(k known) { c.tell(r, k, http.StatusBadRequest) })
+		return
+	}
+	if len(c.types) == 0 {
+		c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+		return
+	}
+	if !c.canRun(&job) {
+		c.lookup(id, func(k known) { c.tell(r, k, http.StatusUnprocessableEntity) })
+		return
+	}
+	if !c.control.loaded || !c.writes.AllowN(c.now, 1) {
+		c.later(r.Req, "too many submissions")
+		return
+	}
+	txn := wire.Txn{
+		If:   []wire.Cond{{Key: headerKey(id)}, {Key: finalKey(id)}},
+		Then: []wire.Change{{Put: headerKey(id), Value: raw}},
+	}
+	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
+		switch reply.Status {
+		case http.StatusOK:
+			c.applyControl(wire.Event{Put: headerKey(id), Value: raw, Version: reply.Txn.Revision})
+			c.answer(r.Req, http.StatusCreated, wire.JobState{ID: id, State: wire.StateQueued})
+		case http.StatusConflict:
+			c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+		default:
+			c.later(r.Req, "state service not reached")
+		}
+	})
+}
+
+// canRun tells whether a job could ever run.
+func (c *Core) canRun(j *wire.Job) bool {
+	need := jobEach(j)
+	if j.Kind == wire.KindService {
+		need = scheduler.Resources{}.Add(need, float64(j.Tasks))
+	}
+	team := c.team(j.Team)
+	if team == nil || need.CPUs > team.CPUsMax+1e-6 || need.GPUs > team.GPUsMax+1e-6 {
+		return false
+	}
+	d := demandOf(j)
+	for _, t := range c.types {
+		for _, zone := range t.Zones {
+			if d.Allows(t.Name, zone, false) && capOf(t).Fits(d.Each) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// abort cancels a job by a write on its record; a race with its completion is
+// settled by the record's version.
+func (c *Core) abort(r UserRequest, tries int) {
+	c.lookup(r.Job, func(k known) {
+		h := c.control.headers[r.Job]
+		if k != knownActive || h.Cancelled {
+			c.tell(r, k, http.StatusNotFound)
+			return
+		}
+		if tries == 0 || !c.writes.AllowN(c.now, 1) {
+			c.later(r.Req, "too many changes")
+			return
+		}
+		cancelled := *h
+		cancelled.Cancelled = true
+		raw := wire.Marshal(cancelled)
+		txn := wire.Txn{
+			If:   []wire.Cond{{Key: headerKey(r.Job), Version: c.control.versions[headerKey(r.Job)]}},
+			Then: []wire.Change{{Put: headerKey(r.Job), Value: raw}},
+		}
+		c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
+			switch reply.Status {
+			case http.StatusOK:
+				c.applyControl(wire.Event{Put: headerKey(r.Job), Value: raw, Version: reply.Txn.Revision})
+				c.answer(r.Req, http.StatusOK, wire.JobState{ID: r.Job, State: wire.StateCancelled})
+			case http.StatusConflict:
+				c.abort(r, tries-1)
+			default:
+				c.later(r.Req, "state service not reached")
+			}
+		})
+	})
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,127 @@
+// Package mesh carries protobuf messages between the controllers over TCP.
+// Nothing is promised: a message that can't be sent at once is dropped, and
+// what matters is asked again by the core.
+package mesh
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	maxFrame    = 1 << 20
+	dialTimeout = time.Second
+	sendTimeout = time.Second
+	queueLen    = 64
+)
+
+// Mesh sends to the other controllers and receives from them.
+type Mesh struct {
+	queues  map[string]chan *Envelope
+	receive func(*Envelope)
+}
+
+// New starts listening on addr and a sender for every peer (name to address).
+func New(ctx context.Context, addr string, peers map[string]string, receive func(*Envelope)) (*Mesh, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("mesh: %w", err)
+	}
+	m := &Mesh{queues: map[string]chan *Envelope{}, receive: receive}
+	for name, peer := range peers {
+		q := make(chan *Envelope, queueLen)
+		m.queues[name] = q
+		go sender(ctx, peer, q)
+	}
+	go m.accept(ln)
+	return m, nil
+}
+
+// Send queues a message to a peer, or drops it when the queue is full.
+func (m *Mesh) Send(to string, e *Envelope) {
+	select {
+	case m.queues[to] <- e:
+	default:
+		slog.Debug("mesh message dropped", "peer", to)
+	}
+}
+
+func sender(ctx context.Context, addr string, q <-chan *Envelope) {
+	var conn net.Conn
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-q:
+			if conn = deliver(conn, addr, e); conn == nil {
+				slog.Debug("mesh peer not reached", "addr", addr)
+			}
+		}
+	}
+}
+
+// deliver writes e on conn, dialling first where there is none; after an error
+// the connection is given up.
+func deliver(conn net.Conn, addr string, e *Envelope) net.Conn {
+	if conn == nil {
+		c, err := net.DialTimeout("tcp", addr, dialTimeout)
+		if err != nil {
+			return nil
+		}
+		conn = c
+	}
+	body, err := proto.Marshal(e)
+	if err != nil {
+		return conn
+	}
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(body)))
+	if err := conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err == nil {
+		if _, err = conn.Write(append(frame, body...)); err == nil {
+			return conn
+		}
+	}
+	conn.Close()
+	return nil
+}
+
+func (m *Mesh) accept(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			slog.Error("mesh accept", "err", err)
+			time.Sleep(dialTimeout)
+			continue
+		}
+		go m.read(conn)
+	}
+}
+
+func (m *Mesh) read(conn net.Conn) {
+	defer conn.Close()
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(conn, head[:]); err != nil {
+			return
+		}
+		size := binary.BigEndian.Uint32(head[:])
+		if size > maxFrame {
+			return
+		}
+		body := make([]byte, size)
+		if _, err := io.ReadFull(conn, body); err != nil {
+			return
+		}
+		e := &Envelope{}
+		if err := proto.Unmarshal(body, e); err != nil {
+			return
+		}
+		m.receive(e)
+	}
+}
--- /dev/null
+++ b/reduction/reduction.go
@@ -0,0 +1,213 @@
+// Package reduction is the staged reduction of "Staged Reduction for Durable
+// Workflow Execution": a pipeline is a fixed acyclic graph of nodes, outcomes
+// are accumulated as point updates, failures are closed downstream, and the
+// closed state is classified. Everything here is pure.
+package reduction
+
+import "fmt"
+
+// Status is the state of one node.
+type Status uint8
+
+// The statuses of a node.
+const (
+	Pending Status = iota
+	Running
+	Completed
+	Failed
+	Skipped
+)
+
+// Outcome is what an execution of a node came to.
+type Outcome uint8
+
+// Forward outcomes advance a node; reset outcomes return it to Pending.
+const (
+	Succeeded Outcome = iota // forward
+	Skip                     // forward
+	Failure                  // forward
+	Cancelled                // forward: counts as failed, where the paper resets
+	Reset                    // reset: lost, stopped, refused or in error
+)
+
+// Graph is a fixed acyclic graph over the nodes 0..n-1.
+type Graph struct {
+	n           int
+	pred, succ  [][]int
+	topological []int
+}
+
+// Independent is the graph of n nodes without edges.
+func Independent(n int) *Graph { return &Graph{n: n} }
+
+// NewGraph checks that the edges (from, to) form an acyclic graph over n nodes.
+func NewGraph(n int, edges [][2]int) (*Graph, error) {
+	g := &Graph{n: n, pred: make([][]int, n), succ: make([][]int, n)}
+	for _, e := range edges {
+		if e[0] < 0 || e[0] >= n || e[1] < 0 || e[1] >= n {
+			return nil, fmt.Errorf("edge %v leaves the graph of %d nodes", e, n)
+		}
+		g.succ[e[0]] = append(g.succ[e[0]], e[1])
+		g.pred[e[1]] = append(g.pred[e[1]], e[0])
+	}
+	waiting := make([]int, n)
+	for v := range n {
+		waiting[v] = len(g.pred[v])
+		if waiting[v] == 0 {
+			g.topological = append(g.topological, v)
+		}
+	}
+	for i := 0; i < len(g.topological); i++ {
+		for _, w := range g.succ[g.topological[i]] {
+			if waiting[w]--; waiting[w] == 0 {
+				g.topological = append(g.topological, w)
+			}
+		}
+	}
+	if len(g.topological) != n {
+		return nil, fmt.Errorf("graph of %d nodes has a cycle", n)
+	}
+	return g, nil
+}
+
+// State holds the status of every node of a graph.
+type State struct {
+	status []Status
+	count  [Skipped + 1]int
+}
+
+// NewState has every node of g pending.
+func NewState(g *Graph) *State {
+	s := &State{status: make([]Status, g.n)}
+	s.count[Pending] = g.n
+	return s
+}
+
+// Status returns the status of node v.
+func (s *State) Status(v int) Status { return s.status[v] }
+
+// Count returns how many nodes have the status.
+func (s *State) Count(st Status) int { return s.count[st] }
+
+// Clone returns an independent copy.
+func (s *State) Clone() *State {
+	c := *s
+	c.status = append([]Status(nil), s.status...)
+	return &c
+}
+
+func (s *State) set(v int, st Status) {
+	s.count[s.status[v]]--
+	s.status[v] = st
+	s.count[st]++
+}
+
+// Start marks a pending node as running.
+func (s *State) Start(v int) {
+	if s.status[v] == Pending {
+		s.set(v, Running)
+	}
+}
+
+// Accumulate applies the outcome of node v to its own status and nothing else.
+// Finished nodes keep their status: a late outcome changes nothing.
+func (s *State) Accumulate(v int, o Outcome) {
+	if s.status[v] == Completed || s.status[v] == Skipped || s.status[v] == Failed {
+		return
+	}
+	switch o {
+	case Succeeded:
+		s.set(v, Completed)
+	case Skip:
+		s.set(v, Skipped)
+	case Failure, Cancelled:
+		s.set(v, Failed)
+	case Reset:
+		s.set(v, Pending)
+	}
+}
+
+// Close fails every pending descendant of a failed node. It is idempotent.
+func Close(g *Graph, s *State) {
+	if s.count[Failed] == 0 {
+		return
+	}
+	for _, v := range g.topological {
+		if s.status[v] != Failed {
+			continue
+		}
+		fail(g, s, v)
+	}
+}
+
+func fail(g *Graph, s *State, v int) {
+	for _, w := range g.succ[v] {
+		if s.status[w] == Pending {
+			s.set(w, Failed)
+		}
+	}
+}
+
+// Recover normalizes a state read back after a crash: what was running is
+// pending again.
+func Recover(s *State) {
+	for v, st := range s.status {
+		if st == Running {
+			s.set(v, Pending)
+		}
+	}
+}
+
+// Ready lists the frontier: pending nodes whose predecessors are all completed
+// or skipped. No two of them are comparable.
+func Ready(g *Graph, s *State) []int {
+	if s.count[Pending] == 0 {
+		return nil
+	}
+	frontier := make([]int, 0, s.count[Pending])
+	for v, st := range s.status {
+		if st == Pending && released(g, s, v) {
+			frontier = append(frontier, v)
+		}
+	}
+	return frontier
+}
+
+func released(g *Graph, s *State, v int) bool {
+	if g.pred == nil {
+		return true
+	}
+	for _, p := range g.pred[v] {
+		if s.status[p] != Completed && s.status[p] != Skipped {
+			return false
+		}
+	}
+	return true
+}
+
+// Verdict is the classification of a closed state.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Progressing Verdict = iota // the frontier can be released
+	Settled                    // nothing is pending or running
+	Waiting                    // nodes run and none is ready
+	Stuck                      // pending nodes that can never be released
+)
+
+// Classify closes the state and decides what follows; with Progressing comes
+// the frontier.
+func Classify(g *Graph, s *State) (Verdict, []int) {
+	Close(g, s)
+	if frontier := Ready(g, s); len(frontier) > 0 {
+		return Progressing, frontier
+	}
+	switch {
+	case s.count[Running] > 0:
+		return Waiting, nil
+	case s.count[Pending] > 0:
+		return Stuck, nil
+	}
+	return Settled, nil
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,246 @@
+// Package server is the shell around the core: HTTP for users, workers and the
+// load balancer, the mesh, and the calls that the core asks for. One goroutine
+// owns the core; everything else reaches it through one bounded queue.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"pumicefront/client"
+	"pumicefront/config"
+	"pumicefront/controller"
+	"pumicefront/mesh"
+	"pumicefront/wire"
+)
+
+const (
+	queueLen      = 1024
+	answerTimeout = 3 * time.Second
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 90 * time.Second
+)
+
+// Server runs one controller.
+type Server struct {
+	cfg    *config.Platform
+	core   *controller.Core
+	client *client.Client
+	mesh   *mesh.Mesh
+	inputs chan controller.Input
+	asked  chan request
+	nextID atomic.Uint64
+}
+
+// request is an input that waits for an answer.
+type request struct {
+	id    uint64
+	input controller.Input
+	reply chan controller.Answer
+}
+
+// New makes a controller from its settings.
+func New(cfg *config.Platform, op config.Operator) *Server {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Server{
+		cfg:    cfg,
+		core:   controller.New(cfg, op, rng, time.Now()),
+		client: client.New(cfg.External.State, cfg.External.Cloud, cfg.Facts.Resources.MaxConnections/4),
+		inputs: make(chan controller.Input, queueLen),
+		asked:  make(chan request, queueLen),
+	}
+}
+
+// Run serves until ctx ends or a listener fails.
+func (s *Server) Run(ctx context.Context) error {
+	peers := map[string]string{}
+	for _, o := range s.cfg.Others {
+		peers[o.Member] = o.Addr
+	}
+	m, err := mesh.New(ctx, s.cfg.Mesh, peers, func(e *mesh.Envelope) {
+		select {
+		case s.inputs <- controller.MeshMessage{Envelope: e}:
+		default: // overloaded: the mesh promises nothing
+		}
+	})
+	if err != nil {
+		return err
+	}
+	s.mesh = m
+	ln, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
+	failed := make(chan error, 1)
+	go func() { failed <- h.Serve(ln) }()
+	go s.loop(ctx)
+	slog.Info("serving", "member", s.cfg.Member, "addr", s.cfg.Listen)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+		return h.Close()
+	}
+}
+
+// loop is the one goroutine that owns the core.
+func (s *Server) loop(ctx context.Context) {
+	waiting := map[uint64]chan controller.Answer{}
+	timer := time.NewTimer(0)
+	for {
+		var in controller.Input
+		select {
+		case <-ctx.Done():
+			return
+		case in = <-s.inputs:
+		case r := <-s.asked:
+			waiting[r.id] = r.reply
+			in = r.input
+		case <-timer.C:
+			in = controller.Tick{}
+		}
+		for _, o := range s.core.Step(time.Now(), in) {
+			if a, ok := o.(controller.Answer); ok {
+				if ch := waiting[a.Req]; ch != nil {
+					ch <- a
+					delete(waiting, a.Req)
+				}
+				continue
+			}
+			s.carryOut(o)
+		}
+		timer.Reset(time.Until(s.core.Wake()))
+	}
+}
+
+func (s *Server) carryOut(o controller.Output) {
+	switch o := o.(type) {
+	case controller.StateCall:
+		go func() { s.inputs <- s.client.State(o) }()
+	case controller.CloudCall:
+		go func() { s.inputs <- s.client.Cloud(o) }()
+	case controller.WorkerCall:
+		go func() { s.inputs <- s.client.Worker(o) }()
+	case controller.MeshSend:
+		s.mesh.Send(o.To, o.Envelope)
+	case controller.Event:
+		slog.Log(context.Background(), o.Level, o.Text, o.Attrs...)
+	}
+}
+
+// ServeHTTP takes a request of a user, a worker or the load balancer.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := s.nextID.Add(1)
+	in, status := s.route(id, r)
+	if status != 0 {
+		respond(w, controller.Answer{Status: status, Body: wire.Error{Error: http.StatusText(status)}})
+		return
+	}
+	reply := make(chan controller.Answer, 1)
+	select {
+	case s.asked <- request{id, in, reply}:
+	default:
+		respond(w, overloaded())
+		return
+	}
+	timer := time.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-reply:
+		respond(w, a)
+	case <-timer.C:
+		respond(w, overloaded())
+	}
+}
+
+func overloaded() controller.Answer {
+	return controller.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "overloaded"}, RetryAfter: time.Second}
+}
+
+// route turns a request into an input, or tells the status that refuses it.
+func (s *Server) route(id uint64, r *http.Request) (controller.Input, int) {
+	path := r.URL.Path
+	switch {
+	case path == wire.PathReady:
+		return controller.UserRequest{Req: id, Op: controller.UserReady}, method(r, http.MethodGet)
+	case path == wire.PathReport:
+		return s.routeReport(id, r)
+	case path == wire.PathJobs:
+		if st := method(r, http.MethodPost); st != 0 {
+			return nil, st
+		}
+		body, err := readBody(r)
+		if err != nil {
+			return nil, http.StatusBadRequest
+		}
+		return controller.UserRequest{Req: id, Op: controller.UserSubmit, Body: body}, 0
+	case strings.HasPrefix(path, wire.PathJobs+"/"):
+		job := strings.TrimPrefix(path, wire.PathJobs+"/")
+		if rest, ok := strings.CutSuffix(job, wire.PathAbort); ok && !strings.Contains(rest, "/") {
+			return controller.UserRequest{Req: id, Op: controller.UserAbort, Job: rest}, method(r, http.MethodPost)
+		}
+		if strings.Contains(job, "/") {
+			return nil, http.StatusNotFound
+		}
+		return controller.UserRequest{Req: id, Op: controller.UserPoll, Job: job}, method(r, http.MethodGet)
+	}
+	return nil, http.StatusNotFound
+}
+
+func (s *Server) routeReport(id uint64, r *http.Request) (controller.Input, int) {
+	if st := method(r, http.MethodPost); st != 0 {
+		return nil, st
+	}
+	// A worker's report may be larger than a user's request: it lists all tasks.
+	body, err := io.ReadAll(io.LimitReader(r.Body, 4*wire.MaxBody))
+	if err != nil {
+		return nil, http.StatusBadRequest
+	}
+	in := controller.ReportRequest{Req: id}
+	if wire.Unmarshal(body, &in.Report) != nil || in.Report.Machine == "" {
+		return nil, http.StatusBadRequest
+	}
+	return in, 0
+}
+
+func method(r *http.Request, want string) int {
+	if r.Method != want {
+		return http.StatusMethodNotAllowed
+	}
+	return 0
+}
+
+var errTooLarge = errors.New("body too large")
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
+	if err == nil && len(body) > wire.MaxBody {
+		err = errTooLarge
+	}
+	return body, err
+}
+
+func respond(w http.ResponseWriter, a controller.Answer) {
+	w.Header().Set("Content-Type", "application/cbor")
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+	body := wire.Marshal(a.Body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(body); err != nil {
+		slog.Debug("answer not written", "err", err)
+	}
+}
--- /dev/null
+++ b/wire/submit.go
@@ -0,0 +1,136 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// MaxTasks is the largest number of tasks of a job.
+const MaxTasks = 100_000
+
+var idForm = regexp.MustCompile(`^req-[0-9]{1,18}$`)
+
+// ValidID tells whether id has the form of a job's id.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// TaskID names task n of a job.
+func TaskID(job string, n int) string { return job + "/" + strconv.Itoa(n) }
+
+// SplitTask takes a task's name apart.
+func SplitTask(id string) (job string, n int, ok bool) {
+	job, num, found := strings.Cut(id, "/")
+	if !found {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	return job, n, err == nil && n >= 0
+}
+
+// submission tells a field that is missing from one that is zero.
+type submission struct {
+	ID          *string  `cbor:"uid"`
+	Class       *string  `cbor:"lane"`
+	Team        *string  `cbor:"crew"`
+	Kind        *string  `cbor:"shape"`
+	Priority    *string  `cbor:"urgency"`
+	Tasks       *int64   `cbor:"pieces"`
+	CPUs        *float64 `cbor:"cores"`
+	GPUs        *float64 `cbor:"gpus"`
+	MemoryGB    *float64 `cbor:"ram_gb"`
+	Image       *string  `cbor:"bundle"`
+	ImageGB     *float64 `cbor:"size_gb"`
+	Types       []string `cbor:"builds"`
+	Zone        *string  `cbor:"yard"`
+	OneZone     *bool    `cbor:"one_zone"`
+	Spread      *bool    `cbor:"scatter"`
+	Spot        *bool    `cbor:"lendable"`
+	EstimateS   *float64 `cbor:"reckon_s"`
+	CheckpointS *float64 `cbor:"mark_s"`
+	SaveS       *float64 `cbor:"stash_s"`
+	DeadlineS   *float64 `cbor:"due_s"`
+}
+
+// ParseJob decodes and checks a submission. Where it fails, the id is still
+// returned if it could be read, so that a known job can be recognised.
+func ParseJob(body []byte) (job Job, id string, err error) {
+	var s submission
+	if err := Unmarshal(body, &s); err != nil {
+		var only struct {
+			ID string `cbor:"uid"`
+		}
+		if Unmarshal(body, &only) == nil && ValidID(only.ID) {
+			id = only.ID
+		}
+		return Job{}, id, err
+	}
+	if s.ID != nil && ValidID(*s.ID) {
+		id = *s.ID
+	}
+	p := parser{}
+	job = Job{
+		ID: p.text("uid", s.ID), Class: p.text("lane", s.Class), Team: p.text("crew", s.Team),
+		Kind: p.text("shape", s.Kind), Priority: p.text("urgency", s.Priority),
+		CPUs: p.amount("cores", s.CPUs), GPUs: p.amount("gpus", s.GPUs), MemoryGB: p.amount("ram_gb", s.MemoryGB),
+		Image: p.text("bundle", s.Image), ImageGB: p.amount("size_gb", s.ImageGB),
+		Types: s.Types, OneZone: p.flag("one_zone", s.OneZone), Spread: p.flag("scatter", s.Spread),
+		Spot: p.flag("lendable", s.Spot), EstimateS: p.amount("reckon_s", s.EstimateS),
+		CheckpointS: p.amount("mark_s", s.CheckpointS), SaveS: p.amount("stash_s", s.SaveS), DeadlineS: s.DeadlineS,
+	}
+	if s.Zone != nil {
+		job.Zone = *s.Zone
+	}
+	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > MaxTasks {
+		p.fail("pieces")
+	} else {
+		job.Tasks = int(*s.Tasks)
+	}
+	p.require("uid", ValidID(job.ID))
+	p.require("shape", job.Kind == KindArray || job.Kind == KindService)
+	p.require("urgency", slices.Contains(Priorities, job.Priority))
+	p.require("cores", job.CPUs > 0 || job.GPUs > 0 || job.MemoryGB > 0)
+	if s.DeadlineS != nil {
+		p.amount("due_s", s.DeadlineS)
+	}
+	return job, id, p.err
+}
+
+// parser collects what is wrong with a submission.
+type parser struct{ err error }
+
+func (p *parser) fail(field string) {
+	p.err = errors.Join(p.err, fmt.Errorf("field %s is missing or invalid", field))
+}
+
+func (p *parser) require(field string, ok bool) {
+	if !ok {
+		p.fail(field)
+	}
+}
+
+func (p *parser) text(field string, v *string) string {
+	if v == nil || *v == "" {
+		p.fail(field)
+		return ""
+	}
+	return *v
+}
+
+func (p *parser) amount(field string, v *float64) float64 {
+	if v == nil || !(*v >= 0 && *v < 1e12) {
+		p.fail(field)
+		return 0
+	}
+	return *v
+}
+
+func (p *parser) flag(field string, v *bool) bool {
+	if v == nil {
+		p.fail(field)
+		return false
+	}
+	return *v
+}
