--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -261,7 +261,7 @@
 	ds := l.demands()
 	for _, d := range ds {
 		d.RoomInTeam = l.roomInTeam(d, used)
-		d.Avoid = nil
+		d.Avoid, d.Gang = nil, false // rent only what is missing
 		used[d.Team] = used[d.Team].Add(d.Each, float64(min(len(d.Tasks), d.RoomInTeam)))
 	}
 	return ds
@@ -323,7 +323,7 @@
 			continue
 		}
 		d := demandOf(&p.spec)
-		d.Job, d.Zone, d.OneZone, d.Spread = "headroom/"+class, "", false, false
+		d.Job, d.Zone, d.OneZone, d.Spread, d.Gang = "headroom/"+class, "", false, false, false
 		d.Total, d.RoomInTeam, d.AgeS = n, n, -1
 		d.Tasks = make([]int, n)
 		ds = append(ds, d)
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -85,7 +85,7 @@
 	return &scheduler.Demand{
 		Job: j.ID, Class: j.Class, Team: j.Team, Total: j.Tasks, Each: jobEach(j), Types: j.Types, Zone: j.Zone,
 		OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.Image,
-		Rank: slices.Index(wire.Priorities, j.Priority), Service: j.Kind == wire.KindService,
+		Rank: slices.Index(wire.Priorities, j.Priority), Service: j.Kind == wire.KindService, Gang: j.Kind == wire.KindGang,
 		InZone: map[string]int{},
 	}
 }
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		verdict, frontier := reduction.Classify(j.graph, j.state)
-		if verdict != reduction.Progressing {
+		if verdict != reduction.Progressing || j.spec.Kind == wire.KindGang && len(j.attempts) > 0 {
 			continue
 		}
 		d := demandOf(&j.spec)
--- a/controller/users.go
+++ b/controller/users.go
@@ -187,7 +187,7 @@
 // canRun tells whether a job could ever run.
 func (c *Core) canRun(j *wire.Job) bool {
 	need := jobEach(j)
-	if j.Kind == wire.KindService {
+	if j.Kind != wire.KindArray {
 		need = scheduler.Resources{}.Add(need, float64(j.Tasks))
 	}
 	team := c.team(j.Team)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 	Image            string
 	Rank             int
 	Service          bool
+	Gang             bool           // all tasks at once or none
 	Within           bool           // within its team's guarantee
 	AgeS             float64        // since submission
 	InZone           map[string]int // tasks in force by zone
@@ -138,7 +139,7 @@
 // fits no part goes to the leader's lane, which spans all machines.
 func Place(machines []*Machine, d *Demand) []Assignment {
 	want := min(len(d.Tasks), d.RoomInTeam)
-	if want <= 0 {
+	if want <= 0 || d.Gang && want < len(d.Tasks) {
 		return nil
 	}
 	var eligible []*Machine
@@ -161,7 +162,15 @@
 			cmp.Compare(flag(d.Spot && !a.Spot), flag(d.Spot && !b.Spot)),
 			cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID))
 	})
-	return fill(eligible, d, want)
+	out := fill(eligible, d, want)
+	if d.Gang && len(out) < want {
+		for _, p := range out {
+			p.Machine.Free = p.Machine.Free.Add(d.Each, 1)
+			d.InZone[p.Machine.Zone]--
+		}
+		return nil
+	}
+	return out
 }
 
 func fill(eligible []*Machine, d *Demand, want int) []Assignment {
--- a/wire/submit.go
+++ b/wire/submit.go
@@ -89,7 +89,7 @@
 		job.Tasks = int(*s.Tasks)
 	}
 	p.require("uid", ValidID(job.ID))
-	p.require("shape", job.Kind == KindArray || job.Kind == KindService)
+	p.require("shape", job.Kind == KindArray || job.Kind == KindGang || job.Kind == KindService)
 	p.require("urgency", slices.Contains(Priorities, job.Priority))
 	p.require("cores", job.CPUs > 0 || job.GPUs > 0 || job.MemoryGB > 0)
 	if s.DeadlineS != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -32,6 +32,7 @@
 // Values of the protocol's enumerations.
 const (
 	KindArray   = "sweep"
+	KindGang    = "ensemble"
 	KindService = "service"
 
 	StateQueued    = "queued"
