--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -45,10 +45,8 @@
 			continue
 		}
 		placed := scheduler.Place(machines, d)
-		for _, p := range placed {
-			l.assign(d, p)
-			used[d.Team] = used[d.Team].Add(d.Each, 1)
-		}
+		l.assign(d, placed)
+		used[d.Team] = used[d.Team].Add(d.Each, float64(len(placed)))
 		if missing := min(len(d.Tasks), d.RoomInTeam) - len(placed); missing > 0 {
 			// No machine takes one more of these: that is decided for the class.
 			full[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
@@ -215,12 +213,32 @@
 	return out
 }
 
-// assign plans an attempt; its run is sent once the record is written.
-func (l *lead) assign(d *scheduler.Demand, p scheduler.Assignment) {
-	j, m := l.jobs[d.Job], l.machines[p.Machine.ID]
-	ch := &j.chunks[p.Task/j.per]
-	ch.next++
-	a := &attempt{job: j, task: p.Task, number: ch.next, machine: m, session: m.session, placed: l.c.now}
+// assign plans attempts. The tasks of a gang carry the same attempt number:
+// workers take only those for peers.
+func (l *lead) assign(d *scheduler.Demand, placed []scheduler.Assignment) {
+	j := l.jobs[d.Job]
+	if d.Gang {
+		top := uint64(0)
+		for _, ch := range j.chunks {
+			top = max(top, ch.next)
+		}
+		for _, p := range placed {
+			j.chunks[p.Task/j.per].next = top + 1
+		}
+	}
+	for _, p := range placed {
+		ch := &j.chunks[p.Task/j.per]
+		if !d.Gang {
+			ch.next++
+		}
+		l.plan(j, p, ch.next)
+	}
+}
+
+// plan puts an attempt in force; its run is sent once the record is written.
+func (l *lead) plan(j *job, p scheduler.Assignment, number uint64) {
+	m := l.machines[p.Machine.ID]
+	a := &attempt{job: j, task: p.Task, number: number, machine: m, session: m.session, placed: l.c.now}
 	j.attempts[p.Task] = a
 	m.attempts[a.key()] = a
 	j.state.Start(p.Task)
