--- a/controller/leader.go
+++ b/controller/leader.go
@@ -18,6 +18,7 @@
 	version   uint64 // of the leader key: the condition of every write
 	lease     uint64
 	elected   time.Time
+	renewed   time.Time // when the last renewal that succeeded was sent
 	authority time.Time // until when the state service's lease is ours for sure
 	recovered bool
 
@@ -67,6 +68,7 @@
 	if l := c.control.leader; l != nil {
 		if l.Member == c.cfg.Member && !c.now.Before(c.endAfter) {
 			c.endAfter = c.now.Add(2 * retryPause)
+			c.ledBefore = true
 			c.endLease(l.Lease)
 		}
 		return
@@ -140,7 +142,7 @@
 	life := l.c.op.LeaderLifetime()
 	until := sent.Add(life - time.Duration(float64(life)*clockDrift) - authorityMargin)
 	if until.After(l.authority) {
-		l.authority = until
+		l.authority, l.renewed = until, sent
 	}
 }
 
@@ -150,6 +152,7 @@
 			return
 		}
 		l.renew()
+		l.askPromises()
 		l.renewLater()
 	})
 }
@@ -163,6 +166,7 @@
 		switch r.Status {
 		case http.StatusOK:
 			l.extend(sent)
+			l.rideOver()
 		case http.StatusNotFound:
 			c.stepDown("lease ended")
 		}
@@ -172,6 +176,7 @@
 func (c *Core) stepDown(why string) {
 	c.log(slog.LevelInfo, "no longer leading", "token", c.lead.token, "why", why)
 	c.lead = nil
+	c.promises.ride, c.promises.riding, c.promises.asks = time.Time{}, false, nil
 	c.claimAfter = c.now
 }
 
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -1,18 +1,10 @@
 package controller
 
 import (
-	"time"
-
 	"pumicefront/config"
 	"pumicefront/mesh"
 )
 
-// promises is filled in by the riding through of outages.
-type promises struct{ started time.Time }
-
-func (c *Core) promised() bool     { return false }
-func (c *Core) promiseBinds() bool { return false }
-
 func (c *Core) broadcast(e *mesh.Envelope) {
 	e.From = c.cfg.Member
 	for _, o := range c.cfg.Others {
@@ -21,12 +13,17 @@
 }
 
 func (c *Core) meshMessage(e *mesh.Envelope) {
-	if body, ok := e.Body.(*mesh.Envelope_Progress); ok {
+	switch body := e.Body.(type) {
+	case *mesh.Envelope_Progress:
 		for _, p := range body.Progress.Jobs {
 			if c.control.headers[p.Job] != nil {
 				c.progress[p.Job] = jobCount{int(p.Done), int(p.Running)}
 			}
 		}
+	case *mesh.Envelope_Ask:
+		c.promiseAsked(e.From, body.Ask)
+	case *mesh.Envelope_Promise:
+		c.promiseAnswered(e.From, body.Promise)
 	}
 }
 
