--- a/controller/control.go
+++ b/controller/control.go
@@ -154,6 +154,15 @@
 	c.control.revision = max(c.control.revision, w.Revision)
 }
 
+// written takes in a change that this controller has made itself. The watch may
+// have told of it, and of what came after it, before the reply arrived: then it
+// is old, and applying it would bring back a key that is gone.
+func (c *Core) written(e wire.Event) {
+	if e.Version > c.control.revision {
+		c.applyControl(e)
+	}
+}
+
 // applyControl applies one change, unless the copy already holds a newer one:
 // the long watch and the reads of sync overlap.
 func (c *Core) applyControl(e wire.Event) {
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -483,15 +483,22 @@
 	if best == nil {
 		return nil
 	}
-	machines := slices.DeleteFunc(l.view(true), func(s *scheduler.Machine) bool { return s.ID == best.id })
+	without := func(s *scheduler.Machine) bool { return s.ID == best.id }
+	if l.holds(slices.DeleteFunc(l.view(true), without)) < l.holds(l.view(true)) {
+		return nil
+	}
+	return best
+}
+
+// holds counts the tasks, waiting and of the headroom, that machines have room for.
+func (l *lead) holds(machines []*scheduler.Machine) int {
 	demands := append(l.backlog(), l.headroom()...)
 	scheduler.Order(demands)
+	n := 0
 	for _, d := range demands {
-		if len(scheduler.Place(machines, d)) < min(len(d.Tasks), d.RoomInTeam) {
-			return nil
-		}
+		n += len(scheduler.Place(machines, d))
 	}
-	return best
+	return n
 }
 
 func (l *lead) price(m *machine) float64 {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -118,10 +119,11 @@
 	l.recovered = true
 	c.log(slog.LevelInfo, "recovered", "token", l.token, "jobs", len(l.jobs), "machines", len(l.machines),
 		"after", c.now.Sub(l.elected))
-	for id, r := range l.unknown {
-		delete(l.unknown, id)
+	for _, id := range slices.Sorted(maps.Keys(l.unknown)) {
+		r := l.unknown[id]
 		l.apply(l.machine(id), &r)
 	}
+	clear(l.unknown)
 	l.wantPlacement()
 }
 
@@ -283,6 +285,7 @@
 			continue
 		}
 		if !l.writes.AllowN(l.c.now, min(len(w.txn.Then), l.writes.Burst())) {
+			j.undo(w) // what compose took must stay dirty, or it is never written
 			l.c.after(20*time.Millisecond, func() {})
 			return
 		}
@@ -443,13 +446,18 @@
 	}
 }
 
-// discard gives up a write that did not run; what it held is dirty again.
-func (l *lead) discard(j *job) {
-	for _, n := range j.write.chunks {
+// undo marks as dirty again what a write that is not made held.
+func (j *job) undo(w *write) {
+	for _, n := range w.chunks {
 		j.chunks[n].dirty = true
 	}
-	j.write = nil
 	j.dirty = true
+}
+
+// discard gives up a write that did not run; what it held is dirty again.
+func (l *lead) discard(j *job) {
+	j.undo(j.write)
+	j.write = nil
 	j.holdUntil = l.c.now.Add(retryPause / 2)
 	l.c.after(retryPause/2, func() {})
 	if j.cancelled {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -115,8 +115,8 @@
 		}
 		c.claiming = false
 		c.becomeLeader(sent, lease, token, r.Txn.Revision)
-		c.applyControl(wire.Event{Put: tokenKey, Value: txn.Then[1].Value, Version: r.Txn.Revision})
-		c.applyControl(wire.Event{Put: leaderKey, Value: set.Value, Version: r.Txn.Revision})
+		c.written(wire.Event{Put: tokenKey, Value: txn.Then[1].Value, Version: r.Txn.Revision})
+		c.written(wire.Event{Put: leaderKey, Value: set.Value, Version: r.Txn.Revision})
 	})
 }
 
@@ -221,7 +221,7 @@
 		}
 		l.bumping = false
 		if r.Status == http.StatusOK {
-			c.applyControl(wire.Event{Put: tokenKey, Value: txn.Then[0].Value, Version: r.Txn.Revision})
+			c.written(wire.Event{Put: tokenKey, Value: txn.Then[0].Value, Version: r.Txn.Revision})
 		}
 	})
 }
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -234,7 +234,9 @@
 			cs = append(cs, wire.Command{Op: wire.OpForget, Task: k.task, Attempt: k.attempt})
 		}
 	}
-	slices.SortStableFunc(cs, func(a, b wire.Command) int { return cmp.Compare(a.Task, b.Task) })
+	slices.SortStableFunc(cs, func(a, b wire.Command) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
+	})
 	const most = 400 // keeps the answer far below 64 KiB; the rest follows with the next report
 	return cs[:min(len(cs), most)]
 }
--- a/controller/users.go
+++ b/controller/users.go
@@ -174,7 +174,7 @@
 	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
 		switch reply.Status {
 		case http.StatusOK:
-			c.applyControl(wire.Event{Put: headerKey(id), Value: raw, Version: reply.Txn.Revision})
+			c.written(wire.Event{Put: headerKey(id), Value: raw, Version: reply.Txn.Revision})
 			c.answer(r.Req, http.StatusCreated, wire.JobState{ID: id, State: wire.StateQueued})
 		case http.StatusConflict:
 			c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
@@ -228,7 +228,7 @@
 		c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
 			switch reply.Status {
 			case http.StatusOK:
-				c.applyControl(wire.Event{Put: headerKey(r.Job), Value: raw, Version: reply.Txn.Revision})
+				c.written(wire.Event{Put: headerKey(r.Job), Value: raw, Version: reply.Txn.Revision})
 				c.answer(r.Req, http.StatusOK, wire.JobState{ID: r.Job, State: wire.StateCancelled})
 			case http.StatusConflict:
 				c.abort(r, tries-1)
--- /dev/null
+++ b/internal/sim/cloud.go
@@ -0,0 +1,112 @@
+package sim
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+// cloud stands in for the cloud's API.
+type cloud struct {
+	w      *World
+	next   int
+	hires  map[string][]string
+	outage bool
+	most   int
+}
+
+func newCloud(w *World) *cloud { return &cloud{w: w, hires: map[string][]string{}, most: 9} }
+
+func (c *cloud) call(n *node, call controller.CloudCall) {
+	w, life, done := c.w, n.life, false
+	reply := func(r controller.CloudReply) {
+		if !done {
+			done = true
+			r.ID = call.ID
+			n.deliver(life, r)
+		}
+	}
+	w.after(call.Timeout, func() { reply(controller.CloudReply{}) })
+	lost := w.chance(0.02)
+	delay := w.between(20*time.Millisecond, 150*time.Millisecond)
+	if lost && w.chance(0.5) {
+		delay = w.between(5*time.Second, 20*time.Second) // takes effect late
+	}
+	w.after(delay, func() {
+		r := c.handle(call)
+		if !lost {
+			reply(r)
+		}
+	})
+}
+
+func (c *cloud) handle(call controller.CloudCall) controller.CloudReply {
+	if c.outage {
+		return controller.CloudReply{Status: http.StatusServiceUnavailable}
+	}
+	r := controller.CloudReply{Status: http.StatusOK}
+	switch call.Op {
+	case controller.CloudTypes:
+		r.Types.Types = types()
+	case controller.CloudRent:
+		names, ok := c.rent(call.Rent)
+		if !ok {
+			return controller.CloudReply{Status: http.StatusServiceUnavailable}
+		}
+		r.Names.Machines = names
+	case controller.CloudRelease:
+		for _, id := range call.Names {
+			if h := c.w.host(id); h != nil {
+				h.vanish()
+			}
+		}
+	case controller.CloudList:
+		r.Page = c.list(call.After)
+	}
+	return r
+}
+
+func (c *cloud) rent(r wire.Rent) ([]string, bool) {
+	if names, ok := c.hires[r.Request]; ok {
+		return names, true
+	}
+	up := 0
+	for _, h := range c.w.hosts {
+		if !h.gone {
+			up++
+		}
+	}
+	names := []string{}
+	for i := 0; i < r.Count && up+i < c.most; i++ {
+		names = append(names, c.w.newHost(fmt.Sprintf("i-%06d", c.next), r.Type, r.Zone, r.Spot).id)
+		c.next++
+	}
+	if len(names) == 0 {
+		return nil, false
+	}
+	c.hires[r.Request] = names
+	return names, true
+}
+
+// list is late by the lag: it omits young machines and shows those that have
+// gone lately.
+func (c *cloud) list(after string) wire.MachinePage {
+	lag := time.Duration(c.w.cfg.Facts.Cloud.ListLagS * float64(time.Second) * (0.5 + c.w.rng.Float64()))
+	var p wire.MachinePage
+	for _, h := range c.w.hosts {
+		asOf := c.w.now - lag
+		if h.id <= after || h.born > asOf || h.gone && h.goneAt < asOf {
+			continue
+		}
+		state := "running"
+		if h.up > asOf {
+			state = wire.MachineBooting
+		}
+		p.Machines = append(p.Machines, wire.Machine{ID: h.id, Type: h.typ, Zone: h.zone, Spot: h.spot, State: state,
+			AgeS: (asOf - h.born).Seconds()})
+	}
+	return p
+}
--- /dev/null
+++ b/internal/sim/day.go
@@ -0,0 +1,86 @@
+package sim
+
+import (
+	"time"
+
+	"pumicefront/wire"
+)
+
+// Day plays a day with troubles drawn from the seed, then a calm in which
+// everything accepted must come to its end.
+func Day(w *World, troubles, calm time.Duration) {
+	u := w.users
+	u.stop = troubles
+	w.after(time.Second, func() { u.arrive(4 * time.Second) })
+	w.after(5*time.Second, u.strangers)
+	for at := 25 * time.Second; at < troubles; at += w.between(4*time.Second, 20*time.Second) {
+		trouble := w.trouble(troubles)
+		w.after(at, trouble)
+	}
+	w.Run(troubles + calm)
+	if len(w.Rules) == 0 {
+		w.checkEnds()
+	}
+}
+
+// trouble draws one trouble; everything is whole again when troubles end.
+func (w *World) trouble(end time.Duration) func() {
+	n := w.nodes[w.rng.IntN(3)]
+	lasting := w.between(3*time.Second, 30*time.Second)
+	undo := func(fn func()) { w.after(min(lasting, max(end-w.now, 0)), fn) }
+	down := w.between(100*time.Millisecond, 6*time.Second)
+	pick := w.rng.Uint64()
+	someHost := func(fn func(h *host)) {
+		var up []*host
+		for _, h := range w.hosts {
+			if !h.gone && h.up <= w.now {
+				up = append(up, h)
+			}
+		}
+		if len(up) > 0 {
+			fn(up[pick%uint64(len(up))])
+		}
+	}
+	kinds := []func(){
+		func() { n.crash(down) },
+		func() {
+			for _, x := range w.nodes {
+				x.crash(down)
+			}
+		},
+		func() { w.store.setOutage(true); undo(func() { w.store.setOutage(false) }) },
+		func() {
+			w.store.setOutage(true)
+			n.crash(down)
+			undo(func() { w.store.setOutage(false) })
+		},
+		func() { n.refused = true; undo(func() { n.refused = false; w.store.notify() }) },
+		func() {
+			n.refused, n.meshCut = true, true
+			undo(func() { n.refused, n.meshCut = false, false; w.store.notify() })
+		},
+		func() { w.cloud.outage = true; undo(func() { w.cloud.outage = false }) },
+		func() { someHost(func(h *host) { h.setCut(true); undo(func() { h.setCut(false) }) }) },
+		func() { someHost(func(h *host) { h.setHung(true); undo(func() { h.setHung(false) }) }) },
+		func() { someHost(func(h *host) { h.vanish() }) },
+		func() { someHost(func(h *host) { h.notice = true; w.after(5*time.Second, h.vanish) }) },
+	}
+	return kinds[w.rng.IntN(len(kinds))]
+}
+
+// checkEnds checks that every accepted array that nobody cancelled is done, and
+// that something has run at all.
+func (w *World) checkEnds() {
+	ran := false
+	for _, j := range w.users.list {
+		for _, d := range j.done {
+			ran = ran || d
+		}
+		if j.accepted && !j.askedCancel && j.spec.Kind == wire.KindArray && !j.doneTold {
+			w.broken("unfinished", "%s is not called done, %d of %d tasks left", j.spec.ID, j.left(), j.spec.Tasks)
+		}
+	}
+	if !ran {
+		w.broken("nothing_ran", "no task has finished")
+	}
+}
--- /dev/null
+++ b/internal/sim/host.go
@@ -0,0 +1,353 @@
+package sim
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+// host stands in for a machine and its worker.
+type host struct {
+	w             *World
+	id, typ, zone string
+	spot          bool
+	born, up      time.Duration
+	gone          bool
+	goneAt        time.Duration
+	drift         float64
+
+	session, seq, token uint64
+	tasks               []*task
+	images              map[string]bool
+	leaseFrom           time.Duration
+	node                int
+	reporting           int // number of the report in flight
+	busy                bool
+	lastSent            time.Duration
+	notice              bool
+	faulty              bool
+
+	cut, hung bool
+	held      []func() // messages that wait for the end of a cut
+	frozen    []func() // what a hanging machine will do when it continues
+}
+
+// task is an attempt on a machine.
+type task struct {
+	id      string
+	attempt uint64
+	state   string
+	why     string
+}
+
+func (t *task) onMachine() bool { return t.state == wire.TaskRunning || t.state == wire.TaskSaving }
+
+func (w *World) newHost(id, typ, zone string, spot bool) *host {
+	h := &host{w: w, id: id, typ: typ, zone: zone, spot: spot, born: w.now, session: 1, images: map[string]bool{},
+		drift: (w.rng.Float64() - 0.5) * 0.0008, node: w.rng.IntN(3), faulty: w.chance(0.04)}
+	boot := w.between(6*time.Second, 14*time.Second)
+	if w.chance(0.05) {
+		boot = time.Hour // never comes up
+	}
+	h.up = w.now + boot
+	w.hosts = append(w.hosts, h)
+	w.after(boot, func() {
+		h.leaseFrom = w.now
+		h.watchLease()
+		h.report()
+	})
+	return h
+}
+
+// do runs fn on the machine: never when it is gone, later when it hangs.
+func (h *host) do(fn func()) {
+	switch {
+	case h.gone:
+	case h.hung:
+		h.frozen = append(h.frozen, fn)
+	default:
+		fn()
+	}
+}
+
+// reach delivers a message to the machine, at the end of a cut if there is one.
+func (h *host) reach(fn func()) {
+	if h.cut {
+		h.held = append(h.held, func() { h.do(fn) })
+		return
+	}
+	h.do(fn)
+}
+
+func (h *host) setCut(on bool) {
+	h.cut = on
+	if !on {
+		held := h.held
+		h.held = nil
+		for _, fn := range held {
+			h.w.after(h.w.latency(), fn)
+		}
+	}
+}
+
+func (h *host) setHung(on bool) {
+	h.hung = on
+	if !on && !h.gone {
+		h.expire()
+		frozen := h.frozen
+		h.frozen = nil
+		for _, fn := range frozen {
+			h.do(fn)
+		}
+	}
+}
+
+func (h *host) vanish() { h.gone, h.goneAt = true, h.w.now }
+
+func (h *host) leaseEnd() time.Duration {
+	lease := h.w.cfg.Facts.Workers.LeaseS * (1 + h.drift)
+	return h.leaseFrom + time.Duration(lease*float64(time.Second))
+}
+
+func (h *host) watchLease() {
+	h.w.after(max(h.leaseEnd()-h.w.now, 50*time.Millisecond), func() {
+		h.do(func() {
+			h.expire()
+			h.watchLease()
+		})
+	})
+}
+
+// expire ends the session when the lease has run out.
+func (h *host) expire() {
+	if h.w.now < h.leaseEnd() {
+		return
+	}
+	h.w.Log("%v %s lease ran out with %d tasks", h.w.now, h.id, len(h.tasks))
+	h.session++
+	h.tasks = nil
+	h.leaseFrom = h.w.now
+	h.reporting++
+	h.busy = false
+	h.soon()
+}
+
+func (h *host) snapshot() wire.Report {
+	h.seq++
+	r := wire.Report{Machine: h.id, Addr: h.id, Type: h.typ, Zone: h.zone, Spot: h.spot, Session: h.session, Seq: h.seq, Token: h.token}
+	if h.notice {
+		left := 5.0
+		r.NoticeS = &left
+	}
+	for _, t := range h.tasks {
+		r.Tasks = append(r.Tasks, wire.Task{ID: t.id, Attempt: t.attempt, State: t.state, Why: t.why})
+	}
+	return r
+}
+
+// soon reports a change, at most once every half second.
+func (h *host) soon() {
+	h.w.after(max(h.lastSent+500*time.Millisecond-h.w.now, 0), func() { h.do(h.report) })
+}
+
+func (h *host) report() {
+	if h.busy {
+		return
+	}
+	w := h.w
+	h.busy = true
+	h.reporting++
+	h.lastSent = w.now
+	number, sent, rep := h.reporting, w.now, h.snapshot()
+	next := time.Duration(w.cfg.Facts.Workers.ReportS * (0.75 + w.rng.Float64()/2) * float64(time.Second))
+	w.after(next, func() { h.do(h.report) })
+	w.after(4*time.Second, func() { h.do(func() { h.failed(number) }) })
+	n := w.nodes[h.node]
+	send := func() {
+		if n.core == nil {
+			w.after(w.latency(), func() { h.reach(func() { h.failed(number) }) })
+			return
+		}
+		h.askReport(n, rep, number, sent)
+	}
+	w.after(w.latency(), func() {
+		if h.cut {
+			h.held = append(h.held, send)
+			return
+		}
+		send()
+	})
+}
+
+func (h *host) askReport(n *node, rep wire.Report, number int, sent time.Duration) {
+	w := h.w
+	in := controller.ReportRequest{Report: rep}
+	n.ask(func(req uint64) controller.Input { in.Req = req; return in }, func(a controller.Answer) {
+		if w.Tamper.Answer != nil {
+			w.Tamper.Answer(w, &in, &a)
+		}
+		w.after(w.latency(), func() { h.reach(func() { h.answered(number, sent, a) }) })
+	})
+}
+
+// failed goes on to the next node a second later.
+func (h *host) failed(number int) {
+	if h.reporting != number || !h.busy {
+		return
+	}
+	h.busy = false
+	h.node = (h.node + 1) % 3
+	h.w.after(time.Second, func() { h.do(h.report) })
+}
+
+func (h *host) answered(number int, sent time.Duration, a controller.Answer) {
+	if h.reporting != number || !h.busy || h.w.now > sent+4*time.Second {
+		return
+	}
+	if a.Status != http.StatusOK {
+		if r, ok := a.Body.(wire.Redirect); ok && r.Leader != "" {
+			i := slices.IndexFunc(h.w.nodes, func(n *node) bool { return n.name == r.Leader })
+			if i >= 0 && i != h.node {
+				h.busy = false
+				h.node = i
+				h.w.after(h.w.between(0, 500*time.Millisecond), func() { h.do(h.report) })
+				return
+			}
+		}
+		h.failed(number)
+		return
+	}
+	h.busy = false
+	body := a.Body.(wire.ReportAnswer)
+	if body.Token < h.token {
+		return
+	}
+	h.leaseFrom = sent
+	if body.Token > h.token {
+		h.token = body.Token
+		h.soon()
+	}
+	h.execute(body.Commands)
+}
+
+// commands carries out a direct command that has arrived.
+func (h *host) commands(c wire.Commands) (int, wire.Report) {
+	if c.Token < h.token || c.Session != h.session {
+		return http.StatusConflict, h.snapshot()
+	}
+	if c.Token > h.token {
+		h.token = c.Token
+		h.soon()
+	}
+	h.execute(c.Commands)
+	return http.StatusOK, h.snapshot()
+}
+
+func (h *host) find(id string, attempt uint64) *task {
+	for _, t := range h.tasks {
+		if t.id == id && t.attempt == attempt {
+			return t
+		}
+	}
+	return nil
+}
+
+func (h *host) execute(cs []wire.Command) {
+	for _, c := range cs {
+		t := h.find(c.Task, c.Attempt)
+		switch c.Op {
+		case wire.OpRun:
+			if t == nil {
+				h.run(c.Task, c.Attempt)
+			}
+		case wire.OpStop:
+			if t != nil && t.state != wire.TaskExited {
+				h.exit(t, wire.WhyStopped)
+			}
+		case wire.OpForget:
+			if t != nil && t.state == wire.TaskExited {
+				h.tasks = slices.DeleteFunc(h.tasks, func(o *task) bool { return o == t })
+			}
+		}
+	}
+}
+
+func (h *host) exit(t *task, why string) {
+	t.state, t.why = wire.TaskExited, why
+	h.soon()
+}
+
+// run takes up a task as the protocol says: refused, fetching, then running.
+func (h *host) run(id string, attempt uint64) {
+	t := &task{id: id, attempt: attempt, state: wire.TaskFetching}
+	h.tasks = append(h.tasks, t)
+	j := h.w.users.jobOf(id)
+	if j == nil {
+		h.exit(t, wire.WhyUnknown)
+		return
+	}
+	used := j.spec.CPUs
+	for _, o := range h.tasks {
+		if o == t || o.state == wire.TaskExited {
+			continue
+		}
+		if o.id == id {
+			h.exit(t, wire.WhyBusy)
+			return
+		}
+		used += h.w.users.jobOf(o.id).spec.CPUs
+	}
+	if used > h.cpus() {
+		h.exit(t, wire.WhyNoRoom)
+		return
+	}
+	fetch := 10 * time.Millisecond
+	if !h.images[j.spec.Image] {
+		fetch = h.w.between(time.Second, 4*time.Second)
+	}
+	h.later(t, fetch, func() { h.start(t, j) })
+}
+
+func (h *host) cpus() float64 {
+	for _, t := range types() {
+		if t.Name == h.typ {
+			return t.CPUs
+		}
+	}
+	return 0
+}
+
+// later goes on with a task that is still there.
+func (h *host) later(t *task, d time.Duration, fn func()) {
+	h.w.after(d, func() {
+		h.do(func() {
+			if t.state != wire.TaskExited && h.find(t.id, t.attempt) == t {
+				fn()
+			}
+		})
+	})
+}
+
+func (h *host) start(t *task, j *simJob) {
+	h.images[j.spec.Image] = true
+	h.w.checkStart(h, t, j)
+	t.state = wire.TaskRunning
+	h.soon()
+	_, n, _ := wire.SplitTask(t.id)
+	switch {
+	case h.faulty:
+		h.later(t, time.Second, func() { h.exit(t, wire.WhyError) })
+	case j.spec.Kind == wire.KindArray:
+		run := j.run
+		if j.done[n] {
+			run = 0
+		}
+		h.later(t, run, func() {
+			j.done[n] = true
+			h.exit(t, wire.WhyDone)
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/rules.go
@@ -0,0 +1,94 @@
+package sim
+
+import (
+	"time"
+
+	"pumicefront/wire"
+)
+
+// running calls fn for every task that is on a machine now. One whose machine
+// hangs beyond its lease counts as gone: it is killed before it goes on.
+func (w *World) running(fn func(h *host, t *task)) {
+	for _, h := range w.hosts {
+		if h.gone || h.hung && w.now >= h.leaseEnd() {
+			continue
+		}
+		for _, t := range h.tasks {
+			if t.onMachine() {
+				fn(h, t)
+			}
+		}
+	}
+}
+
+// checkStart checks the rules on a task's start: ran_twice, quota, wrong_place
+// and ran_cancelled.
+func (w *World) checkStart(h *host, t *task, j *simJob) {
+	w.Log("%v %s starts %s attempt %d", w.now, h.id, t.id, t.attempt)
+	used := j.spec.CPUs
+	zones := map[string]int{h.zone: 1}
+	w.running(func(oh *host, o *task) {
+		oj := w.users.jobOf(o.id)
+		if o.id == t.id {
+			w.broken("ran_twice", "%s attempt %d starts on %s, attempt %d is on %s", t.id, t.attempt, h.id, o.attempt, oh.id)
+		}
+		if oj.spec.Team == j.spec.Team {
+			used += oj.spec.CPUs
+		}
+		if oj == j {
+			zones[oh.zone]++
+		}
+	})
+	if team := w.team(j.spec.Team); used > team.CPUsMax+1e-6 {
+		w.broken("quota", "team %s uses %v of %v", team.Name, used, team.CPUsMax)
+	}
+	w.checkPlace(h, t, j, zones)
+	if j.cancelTold && w.now > j.cancelledAt+w.cancelTime() {
+		w.broken("ran_cancelled", "%s starts on %s", t.id, h.id)
+	}
+}
+
+func (w *World) checkPlace(h *host, t *task, j *simJob, zones map[string]int) {
+	s := j.spec
+	ok := (len(s.Types) == 0 || s.Types[0] == h.typ) && (s.Zone == "" || s.Zone == h.zone) && (s.Spot || !h.spot)
+	ok = ok && (!s.OneZone || len(zones) == 1) && (!s.Spread || zones[h.zone] <= (s.Tasks+1)/2)
+	if !ok {
+		w.broken("wrong_place", "%s on %s %s in %s spot %v, zones %v", t.id, h.id, h.typ, h.zone, h.spot, zones)
+	}
+}
+
+func (w *World) cancelTime() time.Duration {
+	return time.Duration(w.cfg.Facts.Workers.CancelS * float64(time.Second))
+}
+
+// checkCancelled checks, once a cancellation has had its time, that nothing of
+// the job is left.
+func (w *World) checkCancelled(j *simJob) {
+	w.after(w.cancelTime()+time.Millisecond, func() {
+		w.running(func(h *host, t *task) {
+			if w.users.jobOf(t.id) == j {
+				w.broken("ran_cancelled", "%s is still on %s", t.id, h.id)
+			}
+		})
+	})
+}
+
+// checkState checks what a user is told about a job, in answer to a request that
+// was sent after before: answers to earlier ones may arrive out of order.
+func (w *World) checkState(j *simJob, before told, s wire.JobState) {
+	switch {
+	case before.done && s.State != wire.StateDone, before.cancelled && s.State != wire.StateCancelled:
+		w.broken("went_back", "%s is called %s", j.spec.ID, s.State)
+	case s.State == wire.StateCancelled && !j.askedCancel:
+		w.broken("went_back", "%s is called cancelled and nobody asked for it", j.spec.ID)
+	case s.State == wire.StateDone && j.left() > 0:
+		w.broken("not_done", "%s is called done with %d tasks left", j.spec.ID, j.left())
+	}
+	if s.State == wire.StateDone {
+		j.doneTold = true
+	}
+	if s.State == wire.StateCancelled && !j.cancelTold {
+		j.cancelTold, j.cancelledAt = true, w.now
+		w.checkCancelled(j)
+	}
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,142 @@
+package sim
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+const (
+	troubled = 150 * time.Second
+	calm     = 150 * time.Second
+)
+
+// TestDays plays days from fixed seeds. PUMICEFRONT_SEED=N replays one with its
+// log; PUMICEFRONT_DAYS=N plays more.
+func TestDays(t *testing.T) {
+	if one := os.Getenv("PUMICEFRONT_SEED"); one != "" {
+		seed, err := strconv.ParseUint(one, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := New(seed)
+		w.Log = func(f string, args ...any) { fmt.Printf(f+"\n", args...) }
+		Day(w, troubled, calm)
+		report(t, seed, w)
+		return
+	}
+	days := 40
+	if s := os.Getenv("PUMICEFRONT_DAYS"); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := New(seed)
+			Day(w, troubled, calm)
+			report(t, seed, w)
+		})
+	}
+}
+
+func report(t *testing.T, seed uint64, w *World) {
+	t.Helper()
+	for _, r := range w.Rules {
+		t.Errorf("seed %d: %s", seed, r)
+	}
+}
+
+// TestSameSeedSameDay guards the replay of a failing seed.
+func TestSameSeedSameDay(t *testing.T) {
+	play := func() string {
+		var log strings.Builder
+		w := New(3)
+		w.Log = func(f string, args ...any) { fmt.Fprintf(&log, f+"\n", args...) }
+		Day(w, 80*time.Second, 10*time.Second)
+		return log.String()
+	}
+	if a, b := play(), play(); a != b {
+		t.Fatal("two plays of one seed differ")
+	}
+}
+
+// caught plays tampered days until one breaks the rule.
+func caught(t *testing.T, rule string, tamper func() Tamper) {
+	t.Helper()
+	for seed := range uint64(60) {
+		w := New(seed)
+		w.Tamper = tamper()
+		Day(w, troubled, time.Second)
+		for _, r := range w.Rules {
+			if strings.HasPrefix(r, rule) {
+				return
+			}
+		}
+	}
+	t.Errorf("no day broke %s", rule)
+}
+
+// TestCheckerBites breaks one safety rule at a time around an intact core.
+func TestCheckerBites(t *testing.T) {
+	t.Run("forgets at once", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_", func() Tamper {
+			return Tamper{Answer: func(w *World, r *controller.ReportRequest, a *controller.Answer) {
+				body, ok := a.Body.(wire.ReportAnswer)
+				if !ok {
+					return
+				}
+				for _, task := range r.Report.Tasks {
+					if task.State == wire.TaskExited {
+						body.Commands = append(body.Commands, wire.Command{Op: wire.OpForget, Task: task.ID, Attempt: task.Attempt})
+					}
+				}
+				a.Body = body
+			}}
+		})
+	})
+	t.Run("runs without a record", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_twice", func() Tamper {
+			return Tamper{State: func(call *controller.StateCall) (controller.StateReply, bool) {
+				if call.Op != controller.OpTxn || !onlyTasks(call.Txn) {
+					return controller.StateReply{}, false
+				}
+				return controller.StateReply{Status: http.StatusOK, Txn: wire.TxnAnswer{Revision: 0}}, true
+			}}
+		})
+	})
+	t.Run("new leader does not wait for proof", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_twice", func() Tamper {
+			return Tamper{StateReply: func(call *controller.StateCall, r *controller.StateReply) {
+				if call.Op != controller.OpRange || call.Key != "t/" {
+					return
+				}
+				for i, it := range r.Page.Items {
+					var rec map[string]any
+					if wire.Unmarshal(it.Value, &rec) == nil {
+						delete(rec, "p")
+						r.Page.Items[i].Value = wire.Marshal(rec)
+					}
+				}
+			}}
+		})
+	})
+}
+
+func onlyTasks(t wire.Txn) bool {
+	for _, c := range t.Then {
+		if !strings.HasPrefix(c.Put, "t/") {
+			return false
+		}
+	}
+	return len(t.Then) > 0
+}
--- /dev/null
+++ b/internal/sim/store.go
@@ -0,0 +1,223 @@
+package sim
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+// store stands in for the state service.
+type store struct {
+	w        *World
+	revision uint64
+	items    map[string]wire.Item
+	history  []wire.Event
+	leases   map[uint64]*lease
+	nextID   uint64
+	outage   bool
+	watches  []*watch
+}
+
+type lease struct {
+	life time.Duration
+	ends time.Duration
+}
+
+type watch struct {
+	prefix string
+	after  uint64
+	n      *node
+	reply  func(controller.StateReply)
+	done   bool
+}
+
+func newStore(w *World) *store {
+	s := &store{w: w, items: map[string]wire.Item{}, leases: map[uint64]*lease{}}
+	s.expire()
+	return s
+}
+
+// expire ends leases; during an outage none ends, and after it each has its
+// full time again.
+func (s *store) expire() {
+	if !s.outage {
+		for id, l := range s.leases {
+			if l.ends <= s.w.now {
+				s.end(id)
+			}
+		}
+	}
+	s.w.after(20*time.Millisecond, s.expire)
+}
+
+func (s *store) end(id uint64) {
+	delete(s.leases, id)
+	var drops []wire.Change
+	for k, it := range s.items {
+		if it.Lease == id {
+			drops = append(drops, wire.Change{Delete: k})
+		}
+	}
+	if len(drops) > 0 {
+		s.apply(drops)
+	}
+}
+
+func (s *store) setOutage(on bool) {
+	s.outage = on
+	if !on {
+		for _, l := range s.leases {
+			l.ends = s.w.now + l.life
+		}
+		s.notify()
+	}
+}
+
+// handle carries out a call that has arrived.
+func (s *store) handle(n *node, call controller.StateCall, reply func(controller.StateReply)) {
+	if s.outage || n.refused {
+		reply(controller.StateReply{Status: http.StatusServiceUnavailable})
+		return
+	}
+	switch call.Op {
+	case controller.OpGet:
+		if it, ok := s.items[call.Key]; ok {
+			reply(controller.StateReply{Status: http.StatusOK, Item: it})
+		} else {
+			reply(controller.StateReply{Status: http.StatusNotFound})
+		}
+	case controller.OpRange:
+		reply(controller.StateReply{Status: http.StatusOK, Page: s.page(call.Key, call.After)})
+	case controller.OpTxn:
+		reply(s.txn(call.Txn))
+	case controller.OpGrant:
+		s.nextID++
+		s.leases[s.nextID] = &lease{call.Life, s.w.now + call.Life}
+		reply(controller.StateReply{Status: http.StatusOK, Grant: wire.LeaseAnswer{Lease: s.nextID}})
+	case controller.OpTouch:
+		l := s.leases[call.Lease]
+		if l == nil {
+			reply(controller.StateReply{Status: http.StatusNotFound})
+			return
+		}
+		l.ends = s.w.now + l.life
+		reply(controller.StateReply{Status: http.StatusOK})
+	case controller.OpEnd:
+		s.end(call.Lease)
+		reply(controller.StateReply{Status: http.StatusOK})
+	case controller.OpWatch:
+		s.watch(n, call, reply)
+	}
+}
+
+// page is kept small, so that reading needs several.
+func (s *store) page(prefix, after string) wire.Page {
+	const most = 20
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	p := wire.Page{Revision: s.revision, More: len(keys) > most}
+	for _, k := range keys[:min(len(keys), most)] {
+		p.Items = append(p.Items, s.items[k])
+	}
+	return p
+}
+
+func (s *store) txn(t wire.Txn) controller.StateReply {
+	var failed []string
+	for _, c := range t.If {
+		if s.items[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return controller.StateReply{Status: http.StatusConflict, Txn: wire.TxnAnswer{Revision: s.revision, Failed: failed}}
+	}
+	for _, c := range t.Then {
+		if c.Lease != 0 && s.leases[c.Lease] == nil {
+			return controller.StateReply{Status: http.StatusBadRequest, Txn: wire.TxnAnswer{Error: "no such lease"}}
+		}
+		if len(c.Value) > int(s.w.cfg.Facts.State.ValueKB*1024) {
+			return controller.StateReply{Status: http.StatusBadRequest, Txn: wire.TxnAnswer{Error: "value too large"}}
+		}
+	}
+	if len(t.Then) > s.w.cfg.Facts.State.TxnOps {
+		return controller.StateReply{Status: http.StatusBadRequest, Txn: wire.TxnAnswer{Error: "too many changes"}}
+	}
+	s.apply(t.Then)
+	return controller.StateReply{Status: http.StatusOK, Txn: wire.TxnAnswer{Revision: s.revision}}
+}
+
+func (s *store) apply(changes []wire.Change) {
+	s.revision++
+	for _, c := range changes {
+		if c.Delete != "" {
+			if _, ok := s.items[c.Delete]; ok {
+				delete(s.items, c.Delete)
+				s.history = append(s.history, wire.Event{Delete: c.Delete, Version: s.revision})
+			}
+			continue
+		}
+		s.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+		s.history = append(s.history, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+	}
+	s.notify()
+}
+
+func (s *store) changes(prefix string, after uint64) []wire.Event {
+	from := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+	var out []wire.Event
+	for _, e := range s.history[from:] {
+		if strings.HasPrefix(e.Put+e.Delete, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (s *store) watch(n *node, call controller.StateCall, reply func(controller.StateReply)) {
+	x := &watch{prefix: call.Key, after: call.Revision, n: n, reply: reply}
+	if call.Wait == 0 || !s.answer(x, false) {
+		if call.Wait == 0 {
+			s.answer(x, true)
+			return
+		}
+		s.watches = append(s.watches, x)
+		s.w.after(call.Wait, func() { s.answer(x, true) })
+	}
+}
+
+// answer completes a watch if there is something to tell, or if it must.
+func (s *store) answer(x *watch, must bool) bool {
+	if x.done {
+		return true
+	}
+	if s.outage || x.n.refused {
+		return false // open watches wait
+	}
+	events := s.changes(x.prefix, x.after)
+	if len(events) == 0 && !must {
+		return false
+	}
+	x.done = true
+	x.reply(controller.StateReply{Status: http.StatusOK, Watch: wire.Watch{Revision: s.revision, Events: events}})
+	return true
+}
+
+func (s *store) notify() {
+	open := s.watches[:0]
+	for _, x := range s.watches {
+		if !s.answer(x, false) {
+			open = append(open, x)
+		}
+	}
+	s.watches = open
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,357 @@
+// Package sim drives whole controllers' cores through seeded days in virtual
+// time, with stand-ins for the state service, the cloud, the workers, the
+// network and the users. The rules are checked from the workers' and the
+// users' side at every step that can break one (a task's start, an answer, the
+// end of a cancellation's time), never from what a core believes.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/controller"
+	"pumicefront/mesh"
+	"pumicefront/wire"
+)
+
+// Tamper breaks a safety rule on purpose, to show that the checks bite.
+type Tamper struct {
+	Answer     func(w *World, r *controller.ReportRequest, a *controller.Answer)
+	State      func(call *controller.StateCall) (controller.StateReply, bool)
+	StateReply func(call *controller.StateCall, r *controller.StateReply)
+}
+
+// World is one simulated day.
+type World struct {
+	Rules  []string // rules broken, with what happened
+	Log    func(string, ...any)
+	Tamper Tamper
+
+	rng    *rand.Rand
+	start  time.Time
+	now    time.Duration
+	events events
+	seq    int
+	cfg    config.Platform
+	op     config.Operator
+	nodes  []*node
+	store  *store
+	cloud  *cloud
+	hosts  []*host
+	users  *users
+}
+
+// event runs at its time; equal times keep their order.
+type event struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// New returns a day with three controllers.
+func New(seed uint64) *World {
+	w := &World{
+		rng: rand.New(rand.NewPCG(seed, 77)), start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
+		op: config.DefaultOperator(), Log: func(string, ...any) {},
+	}
+	w.cfg = settings()
+	w.store = newStore(w)
+	w.cloud = newCloud(w)
+	w.users = newUsers(w)
+	for i := range 3 {
+		n := &node{w: w, i: i, name: fmt.Sprintf("n%d", i), drift: (w.rng.Float64() - 0.5) * 0.0008}
+		w.nodes = append(w.nodes, n)
+	}
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	return w
+}
+
+func settings() config.Platform {
+	var p config.Platform
+	f := &p.Facts
+	f.Zones = []string{"a", "b"}
+	f.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 40}}
+	f.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 2, Share: 0.9}}
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 2, 10, 24
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 60, 8, 16
+	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
+	f.Resources.MemoryMB, f.Resources.MaxConnections = 125, 1500
+	return p
+}
+
+// after schedules fn.
+func (w *World) after(d time.Duration, fn func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now + max(d, 0), w.seq, fn})
+}
+
+// between draws a duration.
+func (w *World) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(w.rng.Int64N(int64(hi-lo)+1))
+}
+
+func (w *World) chance(p float64) bool { return w.rng.Float64() < p }
+
+// latency of one message.
+func (w *World) latency() time.Duration {
+	if w.chance(0.01) {
+		return w.between(50*time.Millisecond, 400*time.Millisecond)
+	}
+	return w.between(200*time.Microsecond, 3*time.Millisecond)
+}
+
+// Run plays until the given time or the first broken rule.
+func (w *World) Run(until time.Duration) {
+	for len(w.events) > 0 && len(w.Rules) == 0 {
+		e := heap.Pop(&w.events).(event)
+		if e.at > until {
+			heap.Push(&w.events, e)
+			break
+		}
+		w.now = e.at
+		e.fn()
+	}
+	w.now = until
+}
+
+// broken notes a broken rule.
+func (w *World) broken(rule, format string, args ...any) {
+	w.Rules = append(w.Rules, fmt.Sprintf("%s at %v: %s", rule, w.now, fmt.Sprintf(format, args...)))
+}
+
+// node is a controller and the shell around its core.
+type node struct {
+	w        *World
+	i        int
+	name     string
+	drift    float64
+	core     *controller.Core
+	life     int // raised with every start: replies to an earlier process are dropped
+	wakeAt   time.Duration
+	requests map[uint64]func(controller.Answer)
+	nextReq  uint64
+	refused  bool // by the state service
+	meshCut  bool
+	sent     []func() // commands carried out lately, which may be repeated after a crash
+}
+
+func (n *node) clock() time.Time {
+	return n.w.start.Add(n.w.now + time.Duration(float64(n.w.now)*n.drift))
+}
+
+func (n *node) boot() {
+	cfg := n.w.cfg
+	cfg.Member = n.name
+	cfg.Others = nil
+	for i := range 3 {
+		if i != n.i {
+			cfg.Others = append(cfg.Others, config.Peer{Member: fmt.Sprintf("n%d", i)})
+		}
+	}
+	n.life++
+	n.requests = map[uint64]func(controller.Answer){}
+	n.core = controller.New(&cfg, n.w.op, rand.New(rand.NewPCG(n.w.rng.Uint64(), 1)), n.clock())
+	n.step(controller.Tick{})
+}
+
+// crash ends the process; copies of its commands may still arrive.
+func (n *node) crash(down time.Duration) {
+	if n.core == nil {
+		return
+	}
+	n.w.Log("%v crash %s", n.w.now, n.name)
+	n.core = nil
+	for _, again := range n.sent {
+		if n.w.chance(0.5) {
+			n.w.after(n.w.between(0, 30*time.Second), again)
+		}
+	}
+	n.sent = nil
+	n.w.after(down, n.boot)
+}
+
+func (n *node) step(in controller.Input) {
+	if n.core == nil {
+		return
+	}
+	for _, o := range n.core.Step(n.clock(), in) {
+		n.carryOut(o)
+	}
+	if n.core == nil {
+		return
+	}
+	wake := n.w.now + n.core.Wake().Sub(n.clock()) + time.Millisecond
+	if n.wakeAt <= n.w.now || wake < n.wakeAt {
+		n.wakeAt = wake
+		life := n.life
+		n.w.after(wake-n.w.now, func() {
+			if n.life == life && n.wakeAt <= n.w.now {
+				n.step(controller.Tick{})
+			}
+		})
+	}
+}
+
+// deliver hands a reply to the process that asked, if it still runs.
+func (n *node) deliver(life int, in controller.Input) {
+	if n.life == life {
+		n.step(in)
+	}
+}
+
+func (n *node) carryOut(o controller.Output) {
+	switch o := o.(type) {
+	case controller.Answer:
+		if fn := n.requests[o.Req]; fn != nil {
+			delete(n.requests, o.Req)
+			fn(o)
+		}
+	case controller.StateCall:
+		if o.Op == controller.OpTxn {
+			n.w.Log("%v %s transaction %d: if %v then %d changes", n.w.now, n.name, o.ID, o.Txn.If, len(o.Txn.Then))
+		}
+		n.callState(o)
+	case controller.CloudCall:
+		n.w.cloud.call(n, o)
+	case controller.WorkerCall:
+		n.w.Log("%v %s commands %s: %v", n.w.now, n.name, o.Machine, o.Commands)
+		n.callWorker(o)
+	case controller.MeshSend:
+		n.sendMesh(o)
+	case controller.Event:
+		n.w.Log("%v %s %s %v", n.w.now, n.name, o.Text, o.Attrs)
+	}
+}
+
+func (n *node) sendMesh(o controller.MeshSend) {
+	to := n.w.nodes[slices.IndexFunc(n.w.nodes, func(x *node) bool { return x.name == o.To })]
+	if n.meshCut || to.meshCut {
+		return
+	}
+	copyOf := &mesh.Envelope{From: o.Envelope.From, Body: o.Envelope.Body}
+	n.w.after(n.w.latency(), func() { to.step(controller.MeshMessage{Envelope: copyOf}) })
+}
+
+// ask sends a request to the node; fn gets the answer unless the node dies.
+func (n *node) ask(in func(req uint64) controller.Input, fn func(controller.Answer)) {
+	n.nextReq++
+	req := n.nextReq
+	n.requests[req] = fn
+	n.step(in(req))
+}
+
+// callState carries a call to the store and the reply back. A reply may be lost
+// and a transaction may be applied late.
+func (n *node) callState(call controller.StateCall) {
+	w, life, done := n.w, n.life, false
+	reply := func(r controller.StateReply) {
+		if done {
+			return
+		}
+		done = true
+		r.ID = call.ID
+		if w.Tamper.StateReply != nil {
+			w.Tamper.StateReply(&call, &r)
+		}
+		n.deliver(life, r)
+	}
+	w.after(call.Timeout, func() { reply(controller.StateReply{}) })
+	if w.Tamper.State != nil {
+		if r, ok := w.Tamper.State(&call); ok {
+			w.after(w.latency(), func() { reply(r) })
+			return
+		}
+	}
+	late, lost := w.latency(), w.chance(0.004)
+	if call.Op == controller.OpTxn && w.chance(0.004) {
+		late, lost = w.between(time.Second, 20*time.Second), true
+	}
+	w.after(late, func() {
+		w.store.handle(n, call, func(r controller.StateReply) {
+			if !lost {
+				w.after(w.latency(), func() { reply(r) })
+			}
+		})
+	})
+}
+
+// callWorker sends direct commands; a cut machine gets them when the cut ends.
+func (n *node) callWorker(call controller.WorkerCall) {
+	w, life, done := n.w, n.life, false
+	h := w.host(call.Machine)
+	reply := func(r controller.WorkerReply) {
+		if !done {
+			done = true
+			r.ID, r.Machine = call.ID, call.Machine
+			n.deliver(life, r)
+		}
+	}
+	w.after(call.Timeout, func() { reply(controller.WorkerReply{}) })
+	if h == nil {
+		return
+	}
+	run := func(answer bool) func() {
+		return func() {
+			h.reach(func() {
+				status, rep := h.commands(call.Commands)
+				if answer {
+					w.after(w.latency(), func() { reply(controller.WorkerReply{Status: status, Report: rep}) })
+				}
+			})
+		}
+	}
+	n.sent = append(n.sent, run(false))
+	if len(n.sent) > 40 {
+		n.sent = n.sent[1:]
+	}
+	delay := w.latency()
+	if w.chance(0.01) { // held on its way, long after the sender gave up
+		w.after(w.between(2*time.Second, 40*time.Second), run(false))
+		return
+	}
+	w.after(delay, run(true))
+}
+
+func (w *World) host(id string) *host {
+	for _, h := range w.hosts {
+		if h.id == id && !h.gone {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *World) team(name string) config.Team {
+	i := slices.IndexFunc(w.cfg.Facts.Teams, func(t config.Team) bool { return t.Name == name })
+	return w.cfg.Facts.Teams[i]
+}
+
+func key(task string, attempt uint64) string { return fmt.Sprintf("%s#%d", task, attempt) }
+
+func types() []wire.MachineType {
+	return []wire.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 0.5, Price: 1, SpotPrice: 0.4, BootS: 8, Zones: []string{"a", "b"}},
+		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBps: 0.5, Price: 3, SpotPrice: 1, BootS: 10, Zones: []string{"a", "b"}},
+	}
+}
