--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -261,7 +261,7 @@
 	ds := l.demands()
 	for _, d := range ds {
 		d.RoomInTeam = l.roomInTeam(d, used)
-		d.Avoid, d.Gang = nil, false // rent only what is missing
+		d.Gang = false // rent only what is missing
 		used[d.Team] = used[d.Team].Add(d.Each, float64(min(len(d.Tasks), d.RoomInTeam)))
 	}
 	return ds
@@ -440,7 +440,9 @@
 			}
 		default:
 			up++
-			if l.c.now.Sub(m.reported) > patience {
+			if faulty(m) && len(m.attempts) == 0 {
+				l.release(m, "faulty")
+			} else if l.c.now.Sub(m.reported) > patience {
 				lost = append(lost, m)
 			}
 		}
@@ -453,6 +455,9 @@
 	}
 }
 
+// faulty tells whether unlike jobs have failed on a machine and none has finished.
+func faulty(m *machine) bool { return len(m.faults) >= 2 }
+
 func (l *lead) bootedTooLong(m *machine) bool {
 	boot := 60.0
 	if t, ok := l.c.types[m.typ]; ok {
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -100,6 +100,9 @@
 	} else if rep.Session > m.session {
 		c.log(slog.LevelInfo, "machine's lease ran out", "machine", m.id, "session", rep.Session)
 		clear(m.images)
+		// The new session's lease began by now at the latest. Without this, what is
+		// placed in it would be taken for lost when the old session's time is up.
+		m.answered = c.now
 	}
 	m.up, m.addr, m.typ, m.zone, m.spot = true, rep.Addr, rep.Type, rep.Zone, rep.Spot
 	m.session, m.seq, m.token, m.reported = rep.Session, rep.Seq, rep.Token, c.now
@@ -186,6 +189,7 @@
 	switch {
 	case why == wire.WhyDone && j.spec.Kind != wire.KindService:
 		m.images[j.spec.Image] = true
+		clear(m.faults)
 		delete(j.fails, a.task)
 		l.gone(a, reduction.Succeeded, why)
 		return
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -159,7 +159,7 @@
 			ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: scheduler.PartOf(m.id, live),
 			Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
 		}
-		if len(m.faults) >= 2 {
+		if faulty(m) {
 			s.Penalty = 1
 		}
 		for k := range m.strays {
