--- a/config/config.go
+++ b/config/config.go
@@ -9,7 +9,9 @@
 	"os"
 	"time"
 
-	"github.com/hashicorp/hcl/v2/hclsimple"
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/pelletier/go-toml/v2"
 )
 
@@ -130,8 +132,12 @@
 	if path == "" {
 		return o, nil
 	}
-	if err := hclsimple.DecodeFile(path, nil, &o); err != nil {
-		return o, fmt.Errorf("read settings: %w", err)
+	file, diags := hclparse.NewParser().ParseHCLFile(path)
+	if diags.HasErrors() {
+		return o, fmt.Errorf("read settings: %w", diags)
+	}
+	if diags := gohcl.DecodeBody(file.Body, nil, &o); diags.HasErrors() {
+		return o, fmt.Errorf("field %s: %w", fieldAt(file.Body, diags[0].Subject), diags)
 	}
 	if err := o.check(); err != nil {
 		return o, fmt.Errorf("%s: %w", path, err)
@@ -139,6 +145,17 @@
 	return o, nil
 }
 
+// fieldAt names the setting that a complaint is about; HCL tells only where it is.
+func fieldAt(body hcl.Body, at *hcl.Range) string {
+	attrs, _ := body.JustAttributes()
+	for name, a := range attrs {
+		if at != nil && a.Range.ContainsPos(at.Start) {
+			return name
+		}
+	}
+	return "unknown"
+}
+
 // field is one bound on a setting.
 type field struct {
 	name       string
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `
+member = "n0"
+area = "a"
+client_listen = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+new_field = 3
+[[others]]
+member = "n1"
+endpoint = "127.0.0.1:3"
+[external]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[facts]
+[[facts.teams]]
+name = "red"
+cpus = 4.0
+cpus_max = 8.0
+[facts.workers]
+report_s = 2
+lease_s = 10.0
+cancel_s = 20.0
+[facts.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 16
+[facts.cloud]
+rps = 2.0
+[facts.resources]
+memory_mb = 125.0
+max_connections = 1500
+`
+
+func write(t *testing.T, name, text string) string {
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadPlatform(t *testing.T) {
+	p, err := LoadPlatform(write(t, "s.toml", good))
+	if err != nil || p.Member != "n0" || p.Facts.Teams[0].CPUsMax != 8 || p.Others[0].Addr != "127.0.0.1:3" {
+		t.Fatalf("%+v %v", p, err)
+	}
+	for bad, field := range map[string]string{
+		strings.Replace(good, "lease_s = 10.0", "lease_s = 0", 1):                              "facts.workers.lease_s",
+		strings.Replace(good, `state = "127.0.0.1:5"`, `state = "nowhere"`, 1):                 "external.state",
+		strings.Replace(good, `member = "n0"`, "", 1):                                          "member",
+		strings.Replace(good, "cpus_max = 8.0", "cpus_max = 1.0", 1):                           "facts.teams",
+		strings.Replace(good, "report_s = 2", `report_s = "often"`, 1):                         "report_s",
+		strings.Replace(good, `endpoint = "127.0.0.1:3"`, `endpoint = "127.0.0.1:3:9:9:9"`, 1): "others.n1.endpoint",
+	} {
+		if _, err := LoadPlatform(write(t, "s.toml", bad)); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("want a complaint about %s, got %v", field, err)
+		}
+	}
+}
+
+func TestLoadOperator(t *testing.T) {
+	o, err := LoadOperator(write(t, "o.hcl", "idle_s = 10\n"))
+	if err != nil || o.IdleS != 10 || o.LeaderLife != DefaultOperator().LeaderLife {
+		t.Fatalf("%+v %v", o, err)
+	}
+	for bad, field := range map[string]string{
+		`leader_life = "soon"`: "leader_life", "headroom = -1": "headroom", "no_such = 1": "no_such", "idle_s = \"x\"": "idle_s",
+	} {
+		if _, err := LoadOperator(write(t, "o.hcl", bad)); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("want a complaint about %s, got %v", field, err)
+		}
+	}
+	if _, err := LoadOperator("../deploy/pumicefront.hcl"); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"maps"
+	"testing"
+)
+
+func sample() map[string]any {
+	return map[string]any{
+		"uid": "req-000412", "lane": "train", "crew": "vision", "shape": "sweep", "urgency": "high", "pieces": 16,
+		"cores": 8.0, "gpus": 1, "ram_gb": 64.0, "bundle": "img-07", "size_gb": 6.2, "builds": []string{"g8"}, "yard": nil,
+		"one_zone": true, "scatter": false, "lendable": true, "reckon_s": 240.0, "mark_s": 30.0, "stash_s": 4.0, "due_s": nil,
+		"unknown": map[string]any{"x": 1},
+	}
+}
+
+func TestParseJobAccepts(t *testing.T) {
+	job, id, err := ParseJob(Marshal(sample()))
+	if err != nil || id != "req-000412" || job.GPUs != 1 || job.Zone != "" || job.Types[0] != "g8" || job.DeadlineS != nil {
+		t.Fatalf("%+v %q %v", job, id, err)
+	}
+}
+
+// TestParseJobRefuses also checks that the id is still told where it can be
+// read: a known job must not get 400.
+func TestParseJobRefuses(t *testing.T) {
+	for name, v := range map[string]any{
+		"uid": "job-1", "shape": "spiral", "urgency": "urgent", "pieces": 0, "cores": -1.0, "ram_gb": "much",
+		"one_zone": 1, "bundle": "", "reckon_s": nil, "due_s": -5.0, "builds": "g8",
+	} {
+		bad := maps.Clone(sample())
+		bad[name] = v
+		_, id, err := ParseJob(Marshal(bad))
+		if err == nil {
+			t.Errorf("%s = %v is accepted", name, v)
+		}
+		if name != "uid" && id != "req-000412" {
+			t.Errorf("%s = %v: id %q", name, v, id)
+		}
+	}
+	missing := sample()
+	delete(missing, "mark_s")
+	if _, _, err := ParseJob(Marshal(missing)); err == nil {
+		t.Error("a missing field is accepted")
+	}
+	for _, raw := range [][]byte{nil, {0xff}, []byte("not cbor"), Marshal([]int{1}), Marshal("x")} {
+		if _, _, err := ParseJob(raw); err == nil {
+			t.Errorf("%x is accepted", raw)
+		}
+	}
+}
+
+func TestSplitTask(t *testing.T) {
+	if job, n, ok := SplitTask(TaskID("req-000412", 3)); !ok || job != "req-000412" || n != 3 {
+		t.Fatal(job, n, ok)
+	}
+	for _, bad := range []string{"req-1", "req-1/x", "req-1/-1"} {
+		if _, _, ok := SplitTask(bad); ok {
+			t.Errorf("%s is accepted", bad)
+		}
+	}
+}
