--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -360,12 +360,7 @@
 			boot = math.Min(boot, t.BootS)
 		}
 	}
-	within := math.Inf(1)
-	for _, o := range l.c.cfg.Facts.Objectives {
-		if o.Kind == "wait" && o.Class == j.Class || o.Kind == "guarantee" {
-			within = math.Min(within, o.WithinS)
-		}
-	}
+	within := l.startAim(j)
 	if math.IsInf(boot, 1) || math.IsInf(within, 1) {
 		return 0
 	}
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -97,6 +97,7 @@
 		if len(d.Tasks) == 0 {
 			continue
 		}
+		d.Loose = l.fetchMatters(&j.spec)
 		d.Within, d.AgeS, d.Avoid = within, l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
@@ -116,6 +117,29 @@
 	return t != nil && sum.CPUs <= t.CPUs+1e-6 && sum.GPUs <= t.GPUs+1e-6
 }
 
+// fetchMatters tells whether fetching the image alone would miss the class's
+// tightest aim on starting: then its image had better be in many places.
+func (l *lead) fetchMatters(j *wire.Job) bool {
+	within := l.startAim(j)
+	for _, t := range l.c.types {
+		if t.FetchGBps > 0 && j.ImageGB/t.FetchGBps > within {
+			return true
+		}
+	}
+	return false
+}
+
+// startAim is the tightest aim on starting that holds for a job.
+func (l *lead) startAim(j *wire.Job) float64 {
+	within := math.Inf(1)
+	for _, o := range l.c.cfg.Facts.Objectives {
+		if o.Kind == "wait" && o.Class == j.Class || o.Kind == "guarantee" {
+			within = math.Min(within, o.WithinS)
+		}
+	}
+	return within
+}
+
 // teamUse counts every attempt not proved gone.
 func (l *lead) teamUse() map[string]scheduler.Resources {
 	used := map[string]scheduler.Resources{}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -69,6 +69,7 @@
 	Rank             int
 	Service          bool
 	Gang             bool           // all tasks at once or none
+	Loose            bool           // emptiest machines first, to have images in many places
 	Within           bool           // within its team's guarantee
 	AgeS             float64        // since submission
 	InZone           map[string]int // tasks in force by zone
@@ -160,7 +161,7 @@
 	slices.SortStableFunc(eligible, func(a, b *Machine) int {
 		return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(flag(!a.Images[d.Image]), flag(!b.Images[d.Image])),
 			cmp.Compare(flag(d.Spot && !a.Spot), flag(d.Spot && !b.Spot)),
-			cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID))
+			d.tightness(a, b), cmp.Compare(a.ID, b.ID))
 	})
 	out := fill(eligible, d, want)
 	if d.Gang && len(out) < want {
@@ -173,8 +174,32 @@
 	return out
 }
 
+// tightness orders machines that are alike otherwise: the fullest first, so that
+// empty ones can be returned, or the emptiest.
+func (d *Demand) tightness(a, b *Machine) int {
+	if d.Loose {
+		a, b = b, a
+	}
+	return cmp.Compare(a.Free.CPUs, b.Free.CPUs)
+}
+
+// fill takes room on the machines in order; a loose demand goes around them, one
+// task on each.
 func fill(eligible []*Machine, d *Demand, want int) []Assignment {
 	var out []Assignment
+	for d.Loose && len(out) < want {
+		before := len(out)
+		for _, m := range eligible {
+			if len(out) < want && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 && (m.Images[d.Image] || !eligible[0].Images[d.Image]) {
+				m.Free = m.Free.Add(d.Each, -1)
+				d.InZone[m.Zone]++
+				out = append(out, Assignment{d.Tasks[len(out)], m})
+			}
+		}
+		if len(out) == before {
+			break
+		}
+	}
 	for _, m := range eligible {
 		for len(out) < want && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 {
 			m.Free = m.Free.Add(d.Each, -1)
