--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"log/slog"
 	"math"
 	"slices"
@@ -75,13 +76,9 @@
 // demands lists the frontiers of all jobs.
 func (l *lead) demands() []*scheduler.Demand {
 	var ds []*scheduler.Demand
-	earlier := map[string]scheduler.Resources{}
+	borrowed := l.borrowed()
 	for _, j := range l.order {
-		if j.cancelled {
-			continue
-		}
-		within := l.within(j, earlier)
-		if j.state.Count(reduction.Pending) == 0 {
+		if j.cancelled || j.state.Count(reduction.Pending) == 0 {
 			continue
 		}
 		verdict, frontier := reduction.Classify(j.graph, j.state)
@@ -98,7 +95,8 @@
 			continue
 		}
 		d.Loose = l.fetchMatters(&j.spec)
-		d.Within, d.AgeS, d.Avoid = within, l.c.now.Sub(j.accepted).Seconds(), j.avoid
+		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
+		d.Late, d.WorkS = l.late(j), l.workLeft(j)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
@@ -107,8 +105,33 @@
 	return ds
 }
 
+// late counts the aims on finishing that a job can't meet any more. One that has
+// waited out several times the last of them is not passed over any longer.
+func (l *lead) late(j *job) int {
+	age := l.c.now.Sub(j.accepted).Seconds()
+	n, last := 0, 0.0
+	for _, o := range l.c.cfg.Facts.Objectives {
+		if o.Kind != "finished" || o.Class != j.spec.Class {
+			continue
+		}
+		last = math.Max(last, o.WithinS)
+		if age+j.spec.EstimateS > o.WithinS {
+			n++
+		}
+	}
+	if last > 0 && age > 4*last {
+		return 0
+	}
+	return n
+}
+
+// workLeft estimates what is left of a job in core seconds.
+func (l *lead) workLeft(j *job) float64 {
+	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * j.spec.CPUs * j.spec.EstimateS
+}
+
 // within tells whether a job fits into its team's guarantee together with the
-// team's earlier unfinished jobs, and adds it to those.
+// team's jobs that come before it, and adds it to those.
 func (l *lead) within(j *job, earlier map[string]scheduler.Resources) bool {
 	left := j.spec.Tasks - j.state.Count(reduction.Completed)
 	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(left))
@@ -225,13 +248,28 @@
 	})
 }
 
-// borrowed lists the jobs that run beyond their team's guarantee.
+// borrowed lists the jobs beyond their team's guarantee. Which of its jobs a team's
+// guarantee goes to follows the order in which they are served.
 func (l *lead) borrowed() map[*job]bool {
 	out := map[*job]bool{}
 	earlier := map[string]scheduler.Resources{}
+	type ranked struct {
+		*job
+		late int
+		work float64
+	}
+	order := make([]ranked, 0, len(l.order))
 	for _, j := range l.order {
-		if !l.within(j, earlier) {
-			out[j] = true
+		if !j.cancelled {
+			order = append(order, ranked{j, l.late(j), l.workLeft(j)})
+		}
+	}
+	slices.SortStableFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.late, b.late), cmp.Compare(a.work, b.work))
+	})
+	for _, r := range order {
+		if !l.within(r.job, earlier) {
+			out[r.job] = true
 		}
 	}
 	return out
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -72,6 +72,8 @@
 	Loose            bool           // emptiest machines first, to have images in many places
 	Within           bool           // within its team's guarantee
 	AgeS             float64        // since submission
+	Late             int            // aims on finishing that it can't meet any more
+	WorkS            float64        // what is left of it, in core seconds
 	InZone           map[string]int // tasks in force by zone
 	RoomInTeam       int            // tasks that the team's limit still allows
 	Avoid            map[string]bool
@@ -104,11 +106,13 @@
 }
 
 // Order sorts demands: services and prod first, then work within its team's
-// guarantee, then by priority, then the oldest.
+// guarantee, then by priority. When more is asked than can be done, the oldest
+// first would make every job late: so those come first that can still meet their
+// class's aims, and of them the least work.
 func Order(ds []*Demand) {
 	slices.SortStableFunc(ds, func(a, b *Demand) int {
 		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(flag(!a.Within), flag(!b.Within)),
-			cmp.Compare(a.Rank, b.Rank), cmp.Compare(b.AgeS, a.AgeS), cmp.Compare(a.Job, b.Job))
+			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Late, b.Late), cmp.Compare(a.WorkS, b.WorkS), cmp.Compare(b.AgeS, a.AgeS), cmp.Compare(a.Job, b.Job))
 	})
 }
 
