--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -215,6 +215,7 @@
 		l.c.log(slog.LevelInfo, "rented", "request", h.rent.Request, "type", k.typ, "zone", k.zone, "spot", k.spot, "machines", len(h.machines))
 	case http.StatusServiceUnavailable, http.StatusBadRequest:
 		l.fleet.refused[k] = l.c.now
+		l.fleet.ranAt = time.Time{} // another offer may do
 		l.c.log(slog.LevelInfo, "rental refused", "request", h.rent.Request, "type", k.typ, "zone", k.zone, "spot", k.spot, "status", r.Status)
 		l.dropHire(h)
 	}
@@ -243,14 +244,13 @@
 	f := &l.fleet
 	for _, h := range f.hires {
 		if h.machines == nil {
-			return // one request at a time: its machines are not counted yet
+			return // not answered yet: its machines are not counted
 		}
 	}
 	machines := l.view(true)
 	demands := append(l.backlog(), l.headroom()...)
 	wants := scheduler.Fleet(machines, demands, l.offers(), rentMost)
-	if len(wants) > 0 {
-		w := wants[0]
+	for _, w := range wants {
 		l.rent(wire.Rent{Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(w.Count, 50)})
 	}
 }
@@ -352,7 +352,8 @@
 	}
 }
 
-// headroomShare weighs boot time against the tightest aim on starting.
+// headroomShare weighs boot time against the tightest aim on starting: where a
+// machine can be rented in time, no room need be kept.
 func (l *lead) headroomShare(j *wire.Job) float64 {
 	boot := math.Inf(1)
 	for _, t := range l.c.types {
@@ -364,7 +365,7 @@
 	if math.IsInf(boot, 1) || math.IsInf(within, 1) {
 		return 0
 	}
-	return math.Min(l.c.op.HeadroomMost, l.c.op.Headroom*boot/math.Max(within, 0.1))
+	return math.Max(0, math.Min(l.c.op.HeadroomMost, l.c.op.Headroom*(boot/math.Max(within, 0.1)-1)))
 }
 
 // returnMachines gives back what never came up, what has gone silent and what
