--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -423,32 +423,49 @@
 }
 
 // releaseLost decides between waiting a lease out and releasing the machine.
-// Many silent at once speak for a fault on the way to us, not on the machines.
 func (l *lead) releaseLost() {
-	patience := config.Seconds(l.c.op.SilentShare * l.c.cfg.Facts.Workers.LeaseS)
-	up, lost := 0, []*machine{}
+	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
+	patience := time.Duration(l.c.op.SilentShare * float64(lease))
+	cut := l.cutZones()
 	for _, m := range l.machineOrder() {
+		silence := l.c.now.Sub(m.reported)
 		switch {
 		case m.releasing:
 		case !m.up:
 			if l.bootedTooLong(m) {
 				l.release(m, "never came up")
 			}
-		default:
-			up++
-			if faulty(m) && len(m.attempts) == 0 {
-				l.release(m, "faulty")
-			} else if l.c.now.Sub(m.reported) > patience {
-				lost = append(lost, m)
-			}
+		case faulty(m) && len(m.attempts) == 0:
+			l.release(m, "faulty")
+		case silence > patience && !cut[m.zone] && !cut[""], silence > 3*lease:
+			l.release(m, "silent")
 		}
 	}
-	if len(lost) > max(2, up/4) {
-		return
+}
+
+// cutZones lists the zones of which most machines are silent, and "" where a
+// quarter of all is: that speaks for a fault on the way to us, not on the
+// machines. They are left their leases, and come back with what they ran.
+func (l *lead) cutZones() map[string]bool {
+	all, silent := map[string]int{}, map[string]int{}
+	for _, m := range l.machines {
+		if !m.up {
+			continue
+		}
+		all[m.zone]++
+		all[""]++
+		if l.silent(m) {
+			silent[m.zone]++
+			silent[""]++
+		}
 	}
-	for _, m := range lost {
-		l.release(m, "silent")
+	cut := map[string]bool{"": silent[""] > max(2, all[""]/4)}
+	for zone, n := range silent {
+		if zone != "" && len(all) > 2 {
+			cut[zone] = n > 1 && 2*n > all[zone]
+		}
 	}
+	return cut
 }
 
 // faulty tells whether unlike jobs have failed on a machine and none has finished.
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -96,6 +96,7 @@
 	}
 	if !m.up {
 		c.log(slog.LevelInfo, "machine up", "machine", m.id, "type", rep.Type, "zone", rep.Zone, "spot", rep.Spot, "after", c.now.Sub(m.since))
+		m.idle = c.now // not idle while it booted
 		l.wantPlacement()
 	} else if rep.Session > m.session {
 		c.log(slog.LevelInfo, "machine's lease ran out", "machine", m.id, "session", rep.Session)
