--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -437,12 +437,28 @@
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case silence > patience && !cut[m.zone] && !cut[""], silence > 3*lease:
+		case silence > 3*lease, silence > patience && !cut[m.zone] && !cut[""] && l.canMove(m):
 			l.release(m, "silent")
+		case l.silent(m) && !m.calling:
+			l.command(m, nil) // it may only be its reports that don't arrive
 		}
 	}
 }
 
+// canMove tells whether what a machine runs has room elsewhere now. If not,
+// releasing it early gains nothing over waiting its lease out.
+func (l *lead) canMove(m *machine) bool {
+	machines := l.view(false)
+	for _, a := range m.sorted() {
+		d := demandOf(&a.job.spec)
+		d.Tasks, d.RoomInTeam = []int{a.task}, 1
+		if d.Rank == 0 && len(scheduler.Place(machines, d)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // cutZones lists the zones of which most machines are silent, and "" where a
 // quarter of all is: that speaks for a fault on the way to us, not on the
 // machines. They are left their leases, and come back with what they ran.
@@ -477,6 +493,9 @@
 		boot = t.BootS
 	}
 	patience := config.Seconds(boot*2.5) + 10*time.Second
+	if l.c.now.Sub(l.elected) < config.Seconds(l.c.cfg.Facts.Workers.LeaseS) {
+		return false // it may be up and not have found us yet
+	}
 	if m.typ == "" { // known only from an earlier leader's placements
 		return l.c.now.After(l.leaseEnd(m)) && l.c.now.Sub(l.elected) > 3*config.Seconds(l.c.cfg.Facts.Cloud.ListLagS)
 	}
