--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -22,7 +22,8 @@
 	typesEvery   = time.Minute
 	noCapacity   = 15 * time.Second // how long a refusal is remembered
 	peakHalfLife = 90.0             // seconds in which a class's past peak counts half
-	rentMost     = 8                // machines asked for in one round
+	leastCharge  = 58 * time.Second
+	rentMost     = 8 // machines asked for in one round
 )
 
 // fleet is the leader's ledger of what it has asked of the cloud.
@@ -255,11 +256,19 @@
 	}
 }
 
-// backlog lists the demands that wait for room.
+// backlog lists the demands that wait for room which has to be rented: batch work
+// does not wait for a machine to boot where running tasks end sooner than that.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
 	ds := l.demands()
+	scheduler.Order(ds)
+	ending := l.endingSoon()
 	for _, d := range ds {
+		if d.Rank > 0 && !d.Service && d.Each.CPUs > 0 {
+			n := min(int(ending/d.Each.CPUs), len(d.Tasks))
+			ending -= float64(n) * d.Each.CPUs
+			d.Tasks = d.Tasks[n:]
+		}
 		d.RoomInTeam = l.roomInTeam(d, used)
 		d.Gang = false // rent only what is missing
 		used[d.Team] = used[d.Team].Add(d.Each, float64(min(len(d.Tasks), d.RoomInTeam)))
@@ -267,6 +276,27 @@
 	return ds
 }
 
+// endingSoon estimates the cores that running batch tasks give back before a
+// machine rented now would be up.
+func (l *lead) endingSoon() float64 {
+	boot := math.Inf(1)
+	for _, t := range l.c.types {
+		boot = math.Min(boot, t.BootS)
+	}
+	cores := 0.0
+	for _, j := range l.order {
+		if j.spec.Kind == wire.KindService {
+			continue
+		}
+		for _, a := range j.attempts {
+			if a.running && j.spec.EstimateS-l.c.now.Sub(a.since).Seconds() < boot {
+				cores += j.spec.CPUs
+			}
+		}
+	}
+	return cores
+}
+
 // rent records a request under a name that is never used again, then makes it.
 func (l *lead) rent(r wire.Rent) {
 	f := &l.fleet
@@ -510,7 +540,8 @@
 	}
 	var best *machine
 	for _, m := range l.machineOrder() {
-		if !m.up || len(m.attempts)+len(m.strays) > 0 || l.c.now.Sub(m.idle) < idle || m.releasing || l.silent(m) {
+		// A machine is charged for a minute at least: before that nothing is saved.
+		if l.c.now.Sub(m.since) < leastCharge || !m.up || len(m.attempts)+len(m.strays) > 0 || l.c.now.Sub(m.idle) < idle || m.releasing || l.silent(m) {
 			continue
 		}
 		if best == nil || l.price(m) > l.price(best) {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -33,6 +33,7 @@
 	write     *write
 	holdUntil time.Time
 	over      bool // the final record is written
+	hurt      bool // has lost an attempt to a failure, or gave way: goes on first
 }
 
 // chunk is a run of tasks that share a record.
@@ -229,6 +230,7 @@
 	}
 	delete(j.attempts, a.task)
 	delete(a.machine.attempts, a.key())
+	j.hurt = j.hurt || a.seen && o == reduction.Reset
 	j.state.Accumulate(a.task, o)
 	if !j.over {
 		j.touch(a.task, l.c.now)
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -106,7 +106,8 @@
 }
 
 // late counts the aims on finishing that a job can't meet any more. One that has
-// waited out several times the last of them is not passed over any longer.
+// waited out several times the last of them, or has lost work to a failure, is
+// not passed over.
 func (l *lead) late(j *job) int {
 	age := l.c.now.Sub(j.accepted).Seconds()
 	n, last := 0, 0.0
@@ -119,7 +120,7 @@
 			n++
 		}
 	}
-	if last > 0 && age > 4*last {
+	if j.hurt || last > 0 && age > 4*last {
 		return 0
 	}
 	return n
