--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -395,7 +395,8 @@
 	if math.IsInf(boot, 1) || math.IsInf(within, 1) {
 		return 0
 	}
-	return math.Max(0, math.Min(l.c.op.HeadroomMost, l.c.op.Headroom*(boot/math.Max(within, 0.1)-1)))
+	beyond := math.Max(0, boot/math.Max(within, 0.1)-1)
+	return math.Min(l.c.op.HeadroomMost, l.c.op.Headroom*beyond*beyond)
 }
 
 // returnMachines gives back what never came up, what has gone silent and what
