--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -273,9 +273,32 @@
 		d.Gang = false // rent only what is missing
 		used[d.Team] = used[d.Team].Add(d.Each, float64(min(len(d.Tasks), d.RoomInTeam)))
 	}
+	return append(ds, l.doubtful()...)
+}
+
+// doubtful lists the services on machines that have gone silent: the machines to
+// take them over boot while the proof that they are gone is waited for.
+func (l *lead) doubtful() []*scheduler.Demand {
+	var ds []*scheduler.Demand
+	for _, m := range l.machineOrder() {
+		if !m.up || m.leaseOut || l.c.now.Sub(m.reported) < l.patience() {
+			continue
+		}
+		for _, a := range m.sorted() {
+			if d := demandOf(&a.job.spec); d.Service && !a.job.cancelled {
+				d.Tasks, d.RoomInTeam = []int{a.task}, 1
+				ds = append(ds, d)
+			}
+		}
+	}
 	return ds
 }
 
+// patience is how long a machine may be silent before it is suspected.
+func (l *lead) patience() time.Duration {
+	return config.Seconds(l.c.op.SilentShare * l.c.cfg.Facts.Workers.LeaseS)
+}
+
 // endingSoon estimates the cores that running batch tasks give back before a
 // machine rented now would be up.
 func (l *lead) endingSoon() float64 {
@@ -456,7 +479,6 @@
 // releaseLost decides between waiting a lease out and releasing the machine.
 func (l *lead) releaseLost() {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
-	patience := time.Duration(l.c.op.SilentShare * float64(lease))
 	cut := l.cutZones()
 	for _, m := range l.machineOrder() {
 		silence := l.c.now.Sub(m.reported)
@@ -468,7 +490,7 @@
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case silence > 3*lease, silence > patience && !cut[m.zone] && !cut[""] && l.canMove(m):
+		case silence > 3*lease, silence > l.patience() && !cut[m.zone] && !cut[""] && l.canMove(m):
 			l.release(m, "silent")
 		case l.silent(m) && !m.calling:
 			l.command(m, nil) // it may only be its reports that don't arrive
