--- a/controller/core.go
+++ b/controller/core.go
@@ -54,6 +54,7 @@
 	ledBefore  bool // the last leader was an earlier process of this member
 	lead       *lead
 	promises   promises
+	relays     relays
 }
 
 // timer runs a function once its time has come.
@@ -82,6 +83,7 @@
 	c.final.init()
 	c.control.init()
 	c.promises.started = now
+	c.relays.init()
 	return c
 }
 
@@ -186,10 +188,17 @@
 }
 
 func (c *Core) answer(req uint64, status int, body any) {
-	c.emit(Answer{Req: req, Status: status, Body: body})
+	c.reply(Answer{Req: req, Status: status, Body: body})
+}
+
+// reply answers a request, over the mesh if it came that way.
+func (c *Core) reply(a Answer) {
+	if !c.answerRelayed(a) {
+		c.emit(a)
+	}
 }
 
 // later refuses a request that can't be taken now, at once.
 func (c *Core) later(req uint64, why string) {
-	c.emit(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: time.Second})
+	c.reply(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: time.Second})
 }
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -64,7 +64,7 @@
 func (c *Core) report(r ReportRequest) {
 	l := c.lead
 	if !c.entitled() {
-		c.answer(r.Req, http.StatusMisdirectedRequest, wire.Redirect{Leader: c.leaderName()})
+		c.passOn(r)
 		return
 	}
 	rep := r.Report
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -20,6 +20,10 @@
 				c.progress[p.Job] = jobCount{int(p.Done), int(p.Running)}
 			}
 		}
+	case *mesh.Envelope_Relay:
+		c.relayAsked(e.From, body.Relay)
+	case *mesh.Envelope_Relayed:
+		c.relayAnswered(body.Relayed)
 	case *mesh.Envelope_Ask:
 		c.promiseAsked(e.From, body.Ask)
 	case *mesh.Envelope_Promise:
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -59,6 +59,7 @@
 			n.refused, n.meshCut = true, true
 			undo(func() { n.refused, n.meshCut = false, false; w.store.notify() })
 		},
+		func() { n.deaf = true; undo(func() { n.deaf = false }) },
 		func() { w.cloud.outage = true; undo(func() { w.cloud.outage = false }) },
 		func() { someHost(func(h *host) { h.setCut(true); undo(func() { h.setCut(false) }) }) },
 		func() { someHost(func(h *host) { h.setHung(true); undo(func() { h.setHung(false) }) }) },
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -171,7 +171,9 @@
 			w.after(w.latency(), func() { h.reach(func() { h.failed(number) }) })
 			return
 		}
-		h.askReport(n, rep, number, sent)
+		if !n.deaf {
+			h.askReport(n, rep, number, sent)
+		}
 	}
 	w.after(w.latency(), func() {
 		if h.cut {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -153,6 +153,7 @@
 	nextReq  uint64
 	refused  bool // by the state service
 	meshCut  bool
+	deaf     bool     // cut off from the workers
 	sent     []func() // commands carried out lately, which may be repeated after a crash
 }
 
@@ -325,6 +326,9 @@
 	if len(n.sent) > 40 {
 		n.sent = n.sent[1:]
 	}
+	if n.deaf {
+		return
+	}
 	delay := w.latency()
 	if w.chance(0.01) { // held on its way, long after the sender gave up
 		w.after(w.between(2*time.Second, 40*time.Second), run(false))
