--- a/controller/machines.go
+++ b/controller/machines.go
@@ -35,15 +35,16 @@
 	releasing           bool
 	leaseOut            bool
 
-	attempts map[taskKey]*attempt
-	runToken map[taskKey]uint64 // highest token that a run was sent with
-	ended    map[taskKey]time.Time
-	strays   map[taskKey]string // live attempts that are in nobody's record
-	images   map[string]bool
-	faults   map[string]bool // jobs that failed here
-	outbox   []*attempt
-	stops    []wire.Command
-	calling  bool
+	attempts   map[taskKey]*attempt
+	runToken   map[taskKey]uint64 // highest token that a run was sent with
+	ended      map[taskKey]time.Time
+	strays     map[taskKey]string // live attempts that are in nobody's record
+	images     map[string]bool
+	imagesTold int             // how many of them the other controllers know
+	faults     map[string]bool // jobs that failed here
+	outbox     []*attempt
+	stops      []wire.Command
+	calling    bool
 }
 
 // machine returns the ledger's entry, made when it is first heard of.
@@ -55,6 +56,10 @@
 			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, ended: map[taskKey]time.Time{},
 			strays: map[taskKey]string{}, images: map[string]bool{}, faults: map[string]bool{},
 		}
+		for _, image := range l.c.images[id] {
+			m.images[image] = true
+		}
+		m.imagesTold = len(m.images)
 		l.machines[id] = m
 	}
 	return m
@@ -100,7 +105,6 @@
 		l.wantPlacement()
 	} else if rep.Session > m.session {
 		c.log(slog.LevelInfo, "machine's lease ran out", "machine", m.id, "session", rep.Session)
-		clear(m.images)
 		// The new session's lease began by now at the latest. Without this, what is
 		// placed in it would be taken for lost when the old session's time is up.
 		m.answered = c.now
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -5,6 +5,9 @@
 	"pumicefront/mesh"
 )
 
+// maxHints bounds the machines whose images are remembered.
+const maxHints = 4096
+
 func (c *Core) broadcast(e *mesh.Envelope) {
 	e.From = c.cfg.Member
 	for _, o := range c.cfg.Others {
@@ -20,6 +23,12 @@
 				c.progress[p.Job] = jobCount{int(p.Done), int(p.Running)}
 			}
 		}
+		for _, m := range body.Progress.Caches {
+			c.images[m.Machine] = m.Images
+		}
+		if len(c.images) > maxHints {
+			clear(c.images)
+		}
 	case *mesh.Envelope_Relay:
 		c.relayAsked(e.From, body.Relay)
 	case *mesh.Envelope_Relayed:
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -45,17 +46,48 @@
 		if d.RoomInTeam == 0 || full[key] {
 			continue
 		}
-		placed := scheduler.Place(machines, d)
-		l.assign(d, placed)
-		used[d.Team] = used[d.Team].Add(d.Each, float64(len(placed)))
-		if missing := min(len(d.Tasks), d.RoomInTeam) - len(placed); missing > 0 {
+		want := min(len(d.Tasks), d.RoomInTeam)
+		placed := 0
+		if d.Loose && d.Service && d.Rank == 0 {
+			placed = l.placeCached(machines, d, want)
+		}
+		placed += l.placeSome(machines, d)
+		used[d.Team] = used[d.Team].Add(d.Each, float64(placed))
+		if placed < want {
 			// No machine takes one more of these: that is decided for the class.
 			full[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
-			l.preempt(machines, d, missing)
+			l.preempt(machines, d, want-placed)
 		}
 	}
 }
 
+// placeSome places what has room, takes it off the demand, and counts it.
+func (l *lead) placeSome(machines []*scheduler.Machine, d *scheduler.Demand) int {
+	placed := scheduler.Place(machines, d)
+	l.assign(d, placed)
+	d.Tasks, d.RoomInTeam = d.Tasks[len(placed):], d.RoomInTeam-len(placed)
+	return len(placed)
+}
+
+// placeCached places a service, whose image takes longer to fetch than its aim
+// allows, where the image is, and makes room there before it goes elsewhere. It
+// counts what is placed or has room on its way.
+func (l *lead) placeCached(machines []*scheduler.Machine, d *scheduler.Demand, want int) int {
+	d.CachedOnly = true
+	placed := l.placeSome(machines, d)
+	coming := 0
+	if placed < want && l.cachedSomewhere(machines, d) {
+		coming = l.preempt(machines, d, want-placed)
+	}
+	d.CachedOnly = false
+	d.Tasks, d.RoomInTeam = d.Tasks[coming:], d.RoomInTeam-coming
+	return placed + coming
+}
+
+func (l *lead) cachedSomewhere(machines []*scheduler.Machine, d *scheduler.Demand) bool {
+	return slices.ContainsFunc(machines, func(m *scheduler.Machine) bool { return m.Images[d.Image] })
+}
+
 // classKey tells like demands: one that finds no room speaks for all.
 type classKey struct {
 	class, team, zone, types string
@@ -310,16 +342,16 @@
 		"cached", m.images[j.spec.Image], "part", p.Machine.Part)
 }
 
-// preempt stops what has to give way for a demand; the room is taken by a later
-// round, once the stopped tasks are proved gone.
-func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int) {
+// preempt stops what has to give way for a demand and counts the tasks that get
+// room by it; a later round places them, once what was stopped is proved gone.
+func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int) int {
 	if d.Rank > 0 && !d.Within {
-		return
+		return 0
 	}
-	for range min(missing, 32) {
+	for n := range min(missing, 32) {
 		victims, ok := scheduler.Preempt(machines, d)
 		if !ok {
-			return
+			return n
 		}
 		for _, v := range victims {
 			a := l.jobs[v.Job].attempts[v.Task]
@@ -327,6 +359,7 @@
 			l.c.log(slog.LevelInfo, "preempting", "job", v.Job, "task", v.Task, "machine", a.machine.id, "for", d.Job)
 		}
 	}
+	return min(missing, 32)
 }
 
 // talk tells the other controllers the counts of tasks, for display.
@@ -350,7 +383,24 @@
 			jobs = append(jobs, &mesh.JobProgress{Job: j.id, Done: uint32(n.done), Running: uint32(n.running)})
 		}
 	}
-	if len(jobs) > 0 {
-		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs}}})
+	caches := l.caches()
+	if len(jobs)+len(caches) > 0 {
+		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Caches: caches}}})
+	}
+}
+
+// caches lists the machines whose images have changed, as a hint for whoever
+// leads next: reports don't tell which images a machine has.
+func (l *lead) caches() []*mesh.Cache {
+	var cs []*mesh.Cache
+	for _, m := range l.machineOrder() {
+		if len(m.images) == m.imagesTold {
+			continue
+		}
+		m.imagesTold = len(m.images)
+		images := slices.Sorted(maps.Keys(m.images))
+		l.c.images[m.id] = images
+		cs = append(cs, &mesh.Cache{Machine: m.id, Images: images})
 	}
+	return cs
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 	OneZone, Spread  bool
 	Spot             bool
 	Image            string
+	CachedOnly       bool // only where the image is
 	Rank             int
 	Service          bool
 	Gang             bool           // all tasks at once or none
@@ -84,6 +85,11 @@
 	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) && (d.Spot || !spot)
 }
 
+// takes tells whether the demand may go to a machine now.
+func (d *Demand) takes(m *Machine) bool {
+	return d.Allows(m.Type, m.Zone, m.Spot) && !d.Avoid[m.ID] && (!d.CachedOnly || m.Images[d.Image])
+}
+
 // zoneRoom is how many more tasks may go to a zone.
 func (d *Demand) zoneRoom(zone string) int {
 	if d.OneZone {
@@ -149,7 +155,7 @@
 	}
 	var eligible []*Machine
 	for _, m := range machines {
-		if d.Allows(m.Type, m.Zone, m.Spot) && !d.Avoid[m.ID] && m.Free.Fits(d.Each) > 0 {
+		if d.takes(m) && m.Free.Fits(d.Each) > 0 {
 			eligible = append(eligible, m)
 		}
 	}
@@ -272,7 +278,7 @@
 	var best *Machine
 	least := math.Inf(1)
 	for _, m := range machines {
-		if m.Virtual || !d.Allows(m.Type, m.Zone, m.Spot) || d.Avoid[m.ID] || d.zoneRoom(m.Zone) <= 0 {
+		if m.Virtual || !d.takes(m) || d.zoneRoom(m.Zone) <= 0 {
 			continue
 		}
 		free := m.Free.Add(m.Soon, 1)
