--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"pumicefront/config"
 	"pumicefront/mesh"
 	"pumicefront/reduction"
 	"pumicefront/scheduler"
@@ -185,6 +186,16 @@
 	return false
 }
 
+// guaranteeAim is how soon work within a guarantee should start.
+func (l *lead) guaranteeAim() float64 {
+	for _, o := range l.c.cfg.Facts.Objectives {
+		if o.Kind == "guarantee" {
+			return o.WithinS
+		}
+	}
+	return 0
+}
+
 // startAim is the tightest aim on starting that holds for a job.
 func (l *lead) startAim(j *wire.Job) float64 {
 	within := math.Inf(1)
@@ -232,7 +243,7 @@
 	var ms []*scheduler.Machine
 	for _, m := range l.machineOrder() {
 		t, ok := l.c.types[m.typ]
-		if !ok || !l.usable(m) && !(booting && !m.up && !m.releasing) {
+		if !ok || !l.usable(m) && !(booting && !m.up && !m.releasing && !l.overdue(m, t)) {
 			continue
 		}
 		s := &scheduler.Machine{
@@ -258,6 +269,12 @@
 	return ms
 }
 
+// overdue tells whether a booting machine is late, so that another should be
+// rented in its place: a few never come up, and waiting for proof takes long.
+func (l *lead) overdue(m *machine, t wire.MachineType) bool {
+	return l.c.now.Sub(m.since) > config.Seconds(t.BootS*1.6)+2*time.Second
+}
+
 func (l *lead) occupy(s *scheduler.Machine, a *attempt, borrowed map[*job]bool) {
 	each := jobEach(&a.job.spec)
 	s.Free = s.Free.Add(each, -1)
@@ -345,8 +362,8 @@
 // preempt stops what has to give way for a demand and counts the tasks that get
 // room by it; a later round places them, once what was stopped is proved gone.
 func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int) int {
-	if d.Rank > 0 && !d.Within {
-		return 0
+	if d.Rank > 0 && (!d.Within || d.AgeS < l.guaranteeAim()/2) {
+		return 0 // what is running may make room in time, and loses nothing
 	}
 	for n := range min(missing, 32) {
 		victims, ok := scheduler.Preempt(machines, d)
