Place services where they crowd out fewest arrays; release unheard machines early

Cause: single services on 16-core machines left two cores that no array task fits; a machine that died during an election was waited for a whole lease. Ruled out: lack of renting (all 28 machines are up in the burst).

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -487,6 +487,8 @@
 		case !m.up:
 			if l.bootedTooLong(m) {
 				l.release(m, "never came up")
+			} else if l.unheard(m) && len(m.attempts) > 0 && l.canMove(m) {
+				l.release(m, "silent since the election")
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
@@ -498,6 +500,22 @@
 	}
 }
 
+// unheard tells whether a machine that an earlier leader placed work on should
+// have found us by now, when nearly all others have.
+func (l *lead) unheard(m *machine) bool {
+	found := l.patience() + config.Seconds(2*l.c.cfg.Facts.Workers.ReportS) + time.Second
+	missing, all := 0, 0
+	for _, o := range l.machines {
+		if len(o.attempts) > 0 {
+			all++
+			if !o.up {
+				missing++
+			}
+		}
+	}
+	return l.c.now.Sub(l.elected) > found && missing <= max(1, all/8)
+}
+
 // canMove tells whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
 func (l *lead) canMove(m *machine) bool {
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -127,7 +127,9 @@
 		if len(d.Tasks) == 0 {
 			continue
 		}
-		d.Loose = l.fetchMatters(&j.spec)
+		if d.Loose = l.fetchMatters(&j.spec); d.Loose {
+			d.Others = l.otherClasses(d.Class)
+		}
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.late(j), l.workLeft(j)
 		for _, a := range j.attempts {
@@ -196,6 +198,17 @@
 	return 0
 }
 
+// otherClasses lists what a task of each other class of late takes.
+func (l *lead) otherClasses(class string) []scheduler.Resources {
+	var rs []scheduler.Resources
+	for _, name := range slices.Sorted(maps.Keys(l.fleet.peaks)) {
+		if name != class {
+			rs = append(rs, jobEach(&l.fleet.peaks[name].spec))
+		}
+	}
+	return rs
+}
+
 // startAim is the tightest aim on starting that holds for a job.
 func (l *lead) startAim(j *wire.Job) float64 {
 	within := math.Inf(1)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	Service          bool
 	Gang             bool           // all tasks at once or none
 	Loose            bool           // emptiest machines first, to have images in many places
+	Others           []Resources    // what tasks of other classes take
 	Within           bool           // within its team's guarantee
 	AgeS             float64        // since submission
 	Late             int            // aims on finishing that it can't meet any more
@@ -168,11 +169,6 @@
 	if d.OneZone {
 		eligible = bestZone(eligible, d, want)
 	}
-	slices.SortStableFunc(eligible, func(a, b *Machine) int {
-		return cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(flag(!a.Images[d.Image]), flag(!b.Images[d.Image])),
-			cmp.Compare(flag(d.Spot && !a.Spot), flag(d.Spot && !b.Spot)),
-			d.tightness(a, b), cmp.Compare(a.ID, b.ID))
-	})
 	out := fill(eligible, d, want)
 	if d.Gang && len(out) < want {
 		for _, p := range out {
@@ -184,38 +180,46 @@
 	return out
 }
 
-// tightness orders machines that are alike otherwise: the fullest first, so that
-// empty ones can be returned, or the emptiest.
-func (d *Demand) tightness(a, b *Machine) int {
+// prefer orders machines for one task. Alike otherwise, the fullest comes first,
+// so that empty ones can be returned; or, for a loose demand, the one where it
+// costs other classes least room, and of those the emptiest.
+func (d *Demand) prefer(a, b *Machine) int {
+	c := cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(flag(!a.Images[d.Image]), flag(!b.Images[d.Image])),
+		cmp.Compare(flag(d.Spot && !a.Spot), flag(d.Spot && !b.Spot)))
 	if d.Loose {
-		a, b = b, a
+		return cmp.Or(c, cmp.Compare(d.crowds(a), d.crowds(b)), cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
+	}
+	return cmp.Or(c, cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID))
+}
+
+// crowds counts the tasks of other classes that no longer fit on a machine once
+// it has one more of this demand: two small services side by side leave room
+// for one more large task than the same two on two machines.
+func (d *Demand) crowds(m *Machine) int {
+	n := 0
+	after := m.Free.Add(d.Each, -1)
+	for _, o := range d.Others {
+		n += m.Free.Fits(o) - after.Fits(o)
 	}
-	return cmp.Compare(a.Free.CPUs, b.Free.CPUs)
+	return n
 }
 
-// fill takes room on the machines in order; a loose demand goes around them, one
-// task on each.
+// fill takes room task by task, each time on the machine preferred then.
 func fill(eligible []*Machine, d *Demand, want int) []Assignment {
 	var out []Assignment
-	for d.Loose && len(out) < want {
-		before := len(out)
+	for len(out) < want {
+		var best *Machine
 		for _, m := range eligible {
-			if len(out) < want && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 && (m.Images[d.Image] || !eligible[0].Images[d.Image]) {
-				m.Free = m.Free.Add(d.Each, -1)
-				d.InZone[m.Zone]++
-				out = append(out, Assignment{d.Tasks[len(out)], m})
+			if d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 && (best == nil || d.prefer(m, best) < 0) {
+				best = m
 			}
 		}
-		if len(out) == before {
+		if best == nil {
 			break
 		}
-	}
-	for _, m := range eligible {
-		for len(out) < want && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 {
-			m.Free = m.Free.Add(d.Each, -1)
-			d.InZone[m.Zone]++
-			out = append(out, Assignment{d.Tasks[len(out)], m})
-		}
+		best.Free = best.Free.Add(d.Each, -1)
+		d.InZone[best.Zone]++
+		out = append(out, Assignment{d.Tasks[len(out)], best})
 	}
 	return out
 }
