--- a/controller/core.go
+++ b/controller/core.go
@@ -14,7 +14,7 @@
 
 // Timeouts and pauses of the core's own calls.
 const (
-	userCallTimeout  = 800 * time.Millisecond
+	userCallTimeout  = 600 * time.Millisecond
 	leadCallTimeout  = 2 * time.Second
 	cloudCallTimeout = 5 * time.Second
 	watchWait        = 4 * time.Second
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -59,7 +59,7 @@
 // askPromises begins a round once renewals have failed for a while.
 func (l *lead) askPromises() {
 	c, p := l.c, &l.c.promises
-	if l.c.now.Sub(l.renewed) < c.op.LeaderLifetime()/2 || !c.entitled() {
+	if l.c.now.Sub(l.renewed) < c.op.LeaderLifetime()/3 || !c.entitled() {
 		return
 	}
 	p.round++
--- a/deploy/pumicefront.hcl
+++ b/deploy/pumicefront.hcl
@@ -1,5 +1,5 @@
 # Operators' own settings; docs/operations.md explains each.
-leader_life   = "2s"
+leader_life   = "1.4s"
 silent_share  = 0.3
 idle_s        = 15
 headroom      = 0.1
