--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -280,8 +280,10 @@
 // take them over boot while the proof that they are gone is waited for.
 func (l *lead) doubtful() []*scheduler.Demand {
 	var ds []*scheduler.Demand
+	cut := l.cutZones()
 	for _, m := range l.machineOrder() {
-		if !m.up || m.leaseOut || l.c.now.Sub(m.reported) < l.patience() {
+		suspected := l.c.now.Sub(m.reported) > l.patience() || cut[m.zone] && l.silent(m)
+		if !m.up || m.leaseOut || !suspected {
 			continue
 		}
 		for _, a := range m.sorted() {
