--- a/client/client.go
+++ b/client/client.go
@@ -95,17 +95,24 @@
 			"&after=" + strconv.FormatUint(call.Revision, 10) + "&wait_ms=" + strconv.FormatInt(call.Wait.Milliseconds(), 10)
 		into = &reply.Watch
 	}
-	status, raw, err := c.do(call.Timeout, method, target, body)
+	// A refused transaction tells what failed in the same form.
+	reply.Status = c.fetch(call.Timeout, method, target, body, into, call.Op == controller.OpTxn)
+	return reply
+}
+
+// fetch calls and decodes the answer into into; status 0 stands for none.
+func (c *Client) fetch(timeout time.Duration, method, target string, body, into any, always bool) int {
+	status, raw, err := c.do(timeout, method, target, body)
 	if err != nil {
-		return reply
+		return 0
 	}
-	if into != nil && (status == http.StatusOK || call.Op == controller.OpTxn) {
-		if err := wire.Unmarshal(raw, into); err != nil && status == http.StatusOK {
-			return reply
-		}
+	if into == nil || status != http.StatusOK && !always {
+		return status
 	}
-	reply.Status = status
-	return reply
+	if err := wire.Unmarshal(raw, into); err != nil && status == http.StatusOK {
+		return 0
+	}
+	return status
 }
 
 // Cloud makes a call of the core to the cloud.
@@ -129,26 +136,13 @@
 	case controller.CloudRelease:
 		method, target, body = http.MethodPost, target+wire.PathRelease, wire.Names{Machines: call.Names}
 	}
-	status, raw, err := c.do(call.Timeout, method, target, body)
-	if err != nil {
-		return reply
-	}
-	if into != nil && status == http.StatusOK {
-		if err := wire.Unmarshal(raw, into); err != nil {
-			return reply
-		}
-	}
-	reply.Status = status
+	reply.Status = c.fetch(call.Timeout, method, target, body, into, false)
 	return reply
 }
 
 // Worker sends direct commands of the core to a worker.
 func (c *Client) Worker(cmd controller.WorkerCall) controller.WorkerReply {
 	reply := controller.WorkerReply{ID: cmd.ID, Machine: cmd.Machine}
-	status, raw, err := c.do(cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands)
-	if err != nil || wire.Unmarshal(raw, &reply.Report) != nil {
-		return reply
-	}
-	reply.Status = status
+	reply.Status = c.fetch(cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands, &reply.Report, true)
 	return reply
 }
--- a/config/config.go
+++ b/config/config.go
@@ -18,7 +18,6 @@
 // Platform is the file that the platform hands over. Unknown fields are ignored.
 type Platform struct {
 	Member   string `toml:"member"`
-	Zone     string `toml:"area"`
 	Listen   string `toml:"client_listen"`
 	Mesh     string `toml:"mesh_addr"`
 	Others   []Peer `toml:"others"`
@@ -37,8 +36,6 @@
 
 // Facts describe the deployment.
 type Facts struct {
-	Zones      []string    `toml:"zones"`
-	SkewMS     float64     `toml:"skew_ms"`
 	Teams      []Team      `toml:"teams"`
 	Objectives []Objective `toml:"objectives"`
 	Workers    struct {
@@ -57,7 +54,6 @@
 		ListLagS float64 `toml:"list_lag_s"`
 	} `toml:"cloud"`
 	Resources struct {
-		CoreShare      float64 `toml:"core_share"`
 		MemoryMB       float64 `toml:"memory_mb"`
 		MaxConnections int     `toml:"max_connections"`
 	} `toml:"resources"`
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -133,7 +133,7 @@
 	l.extend(sent)
 	c.log(slog.LevelInfo, "leading", "token", token)
 	l.renewLater()
-	l.recover()
+	l.readRecords()
 }
 
 // extend counts the authority from before the renewal was sent, less what the
@@ -226,44 +226,40 @@
 	})
 }
 
-// recover reads the records that the earlier leader left: first the headers, as
-// new as our election, then the task records, which only we write now.
-func (l *lead) recover() {
+// readRecords reads what the earlier leader left: first the headers, as new as our
+// election, then rentals and task records, which only we write now. It begins
+// again until all is read.
+func (l *lead) readRecords() {
 	c := l.c
-	c.sync(func(ok bool) {
-		if c.lead != l {
-			return
-		}
-		if !ok {
-			c.after(retryPause, l.recoverAgain)
-			return
-		}
-		c.readAll(hirePrefix, leadCallTimeout, func(hires []wire.Item, _ uint64, ok bool) {
-			if c.lead != l {
-				return
+	again := func() {
+		c.after(retryPause, func() {
+			if c.lead == l {
+				l.readRecords()
 			}
-			if !ok {
-				c.after(retryPause, l.recoverAgain)
-				return
+		})
+	}
+	read := func(prefix string, next func([]wire.Item)) {
+		c.readAll(prefix, leadCallTimeout, func(items []wire.Item, _ uint64, ok bool) {
+			switch {
+			case c.lead != l:
+			case !ok:
+				again()
+			default:
+				next(items)
 			}
-			c.readAll(taskPrefix, leadCallTimeout, func(items []wire.Item, _ uint64, ok bool) {
-				if c.lead != l {
-					return
-				}
-				if !ok {
-					c.after(retryPause, l.recoverAgain)
-					return
-				}
-				l.rebuild(items, hires)
-			})
 		})
-	})
-}
-
-func (l *lead) recoverAgain() {
-	if l.c.lead == l {
-		l.recover()
 	}
+	c.sync(func(ok bool) {
+		switch {
+		case c.lead != l:
+		case !ok:
+			again()
+		default:
+			read(hirePrefix, func(hires []wire.Item) {
+				read(taskPrefix, func(tasks []wire.Item) { l.rebuild(tasks, hires) })
+			})
+		}
+	})
 }
 
 // run is the leader's part of every step.
--- /dev/null
+++ b/controller/listing.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"log/slog"
+	"math"
+	"net/http"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/wire"
+)
+
+// refreshTypes learns the machine types and hands them to the other controllers.
+func (l *lead) refreshTypes() {
+	f := &l.fleet
+	if f.asking || !f.typesAt.IsZero() && l.c.now.Sub(f.typesAt) < typesEvery {
+		return
+	}
+	f.asking = l.call(CloudCall{Op: CloudTypes}, func(r CloudReply) {
+		f.asking = false
+		if r.Status != http.StatusOK {
+			return
+		}
+		f.typesAt = l.c.now
+		first := len(l.c.types) == 0
+		l.c.setTypes(r.Types.Types)
+		l.wantPlacement()
+		if first || l.c.control.versions[typesKey] == 0 {
+			txn := wire.Txn{If: []wire.Cond{l.mine()}, Then: []wire.Change{put(typesKey, r.Types)}}
+			l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(StateReply) {})
+		}
+	})
+}
+
+// refreshList reads the cloud's list. It is late and may go back: it only adds
+// machines that we don't know and shows failed ones; it never proves one gone.
+func (l *lead) refreshList() {
+	f := &l.fleet
+	every := config.Seconds(math.Max(3, l.c.cfg.Facts.Cloud.ListLagS/2))
+	if f.listing || l.c.now.Sub(f.listedAt) < every {
+		return
+	}
+	f.listedAt = l.c.now
+	l.listPage("")
+}
+
+func (l *lead) listPage(after string) {
+	f := &l.fleet
+	f.listing = l.call(CloudCall{Op: CloudList, After: after}, func(r CloudReply) {
+		f.listing = false
+		if r.Status != http.StatusOK {
+			return
+		}
+		for _, m := range r.Page.Machines {
+			l.listed(m)
+		}
+		if n := len(r.Page.Machines); r.Page.More && n > 0 {
+			l.listPage(r.Page.Machines[n-1].ID)
+		}
+	})
+}
+
+func (l *lead) listed(it wire.Machine) {
+	if at, ok := l.released[it.ID]; ok {
+		// Still listed long after its release: it came up late, or the release was lost.
+		if l.c.now.Sub(at) > 4*config.Seconds(l.c.cfg.Facts.Cloud.ListLagS)+30*time.Second {
+			delete(l.released, it.ID)
+		}
+		return
+	}
+	m, known := l.machines[it.ID]
+	if !known {
+		m = l.machine(it.ID)
+		m.since = l.c.now.Add(-config.Seconds(it.AgeS))
+		l.c.log(slog.LevelInfo, "machine found in the list", "machine", it.ID, "type", it.Type, "state", it.State)
+	}
+	if !m.up {
+		m.typ, m.zone, m.spot, m.addr = it.Type, it.Zone, it.Spot, it.Addr
+	}
+	if it.State == wire.MachineFailed && (!m.up || l.silent(m)) {
+		l.release(m, "failed")
+	}
+}
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -40,7 +40,7 @@
 	attempts   map[taskKey]*attempt
 	runToken   map[taskKey]uint64 // highest token that a run was sent with
 	ended      map[taskKey]time.Time
-	strays     map[taskKey]string // live attempts that are in nobody's record
+	strays     map[taskKey]bool // live attempts that are in nobody's record
 	images     map[string]bool
 	imagesTold int             // how many of them the other controllers know
 	faults     map[string]bool // jobs that failed here
@@ -56,7 +56,7 @@
 		m = &machine{
 			id: id, part: scheduler.PartOf(id, l.c.members()), since: l.c.now, idle: l.c.now, answered: l.elected,
 			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, ended: map[taskKey]time.Time{},
-			strays: map[taskKey]string{}, images: map[string]bool{}, faults: map[string]bool{},
+			strays: map[taskKey]bool{}, images: map[string]bool{}, faults: map[string]bool{},
 		}
 		for _, image := range l.c.images[id] {
 			m.images[image] = true
@@ -157,11 +157,10 @@
 	id, n, ok := wire.SplitTask(t.ID)
 	a := m.attempts[k]
 	if t.State != wire.TaskExited {
-		switch {
-		case a != nil:
+		if a != nil {
 			l.alive(a, t.State)
-		default:
-			m.strays[k] = t.State
+		} else {
+			m.strays[k] = true
 		}
 		return
 	}
--- /dev/null
+++ b/controller/silence.go
@@ -0,0 +1,133 @@
+package controller
+
+import (
+	"math"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/scheduler"
+)
+
+// releaseLost decides between waiting a lease out and releasing the machine.
+func (l *lead) releaseLost() {
+	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
+	cut := l.cutZones()
+	for _, m := range l.machineOrder() {
+		silence := l.c.now.Sub(m.reported)
+		switch {
+		case m.releasing:
+		case !m.up:
+			if l.bootedTooLong(m) {
+				l.release(m, "never came up")
+			} else if l.unheard(m) && len(m.attempts) > 0 && l.canMove(m) {
+				l.release(m, "silent since the election")
+			}
+		case faulty(m) && len(m.attempts) == 0:
+			l.release(m, "faulty")
+		case silence > 3*lease, silence > l.patience() && !cut[m.zone] && !cut[""] && l.canMove(m):
+			l.release(m, "silent")
+		case l.silent(m) && !m.calling:
+			l.command(m, nil) // it may only be its reports that don't arrive
+		}
+	}
+}
+
+// cutZones lists the zones of which most machines are silent, and "" where a
+// quarter of all is: that speaks for a fault on the way to us, not on the
+// machines. They are left their leases, and come back with what they ran.
+func (l *lead) cutZones() map[string]bool {
+	all, silent := map[string]int{}, map[string]int{}
+	for _, m := range l.machines {
+		if !m.up {
+			continue
+		}
+		all[m.zone]++
+		all[""]++
+		if l.silent(m) {
+			silent[m.zone]++
+			silent[""]++
+		}
+	}
+	cut := map[string]bool{"": silent[""] > max(1, all[""]/4)}
+	for zone, n := range silent {
+		if zone != "" && len(all) > 2 {
+			cut[zone] = n > 1 && 2*n > all[zone]
+		}
+	}
+	return cut
+}
+
+// unheard tells whether a machine that an earlier leader placed work on should
+// have found us by now, when nearly all others have.
+func (l *lead) unheard(m *machine) bool {
+	found := l.patience() + config.Seconds(2*l.c.cfg.Facts.Workers.ReportS) + time.Second
+	missing, all := 0, 0
+	for _, o := range l.machines {
+		if len(o.attempts) > 0 {
+			all++
+			if !o.up {
+				missing++
+			}
+		}
+	}
+	return l.c.now.Sub(l.elected) > found && missing <= max(1, all/8)
+}
+
+// canMove tells whether what a machine runs has room elsewhere now. If not,
+// releasing it early gains nothing over waiting its lease out.
+func (l *lead) canMove(m *machine) bool {
+	machines := l.view(false)
+	for _, a := range m.sorted() {
+		d := demandOf(&a.job.spec)
+		d.Tasks, d.RoomInTeam = []int{a.task}, 1
+		if d.Rank == 0 && len(scheduler.Place(machines, d)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *lead) bootedTooLong(m *machine) bool {
+	boot := 60.0
+	if t, ok := l.c.types[m.typ]; ok {
+		boot = t.BootS
+	}
+	patience := config.Seconds(boot*2.5) + 10*time.Second
+	if l.c.now.Sub(l.elected) < config.Seconds(l.c.cfg.Facts.Workers.LeaseS) {
+		return false // it may be up and not have found us yet
+	}
+	if m.typ == "" { // known only from an earlier leader's placements
+		return l.c.now.After(l.leaseEnd(m)) && l.c.now.Sub(l.elected) > 3*config.Seconds(l.c.cfg.Facts.Cloud.ListLagS)
+	}
+	return l.c.now.Sub(m.since) > patience
+}
+
+// doubtful lists the services on machines that have gone silent: the machines to
+// take them over boot while the proof that they are gone is waited for.
+func (l *lead) doubtful() []*scheduler.Demand {
+	var ds []*scheduler.Demand
+	cut := l.cutZones()
+	for _, m := range l.machineOrder() {
+		suspected := l.c.now.Sub(m.reported) > l.patience() || cut[m.zone] && l.silent(m)
+		if !m.up || m.leaseOut || !suspected {
+			continue
+		}
+		for _, a := range m.sorted() {
+			if d := demandOf(&a.job.spec); d.Service && !a.job.cancelled {
+				d.Tasks, d.RoomInTeam = []int{a.task}, 1
+				ds = append(ds, d)
+			}
+		}
+	}
+	return ds
+}
+
+// patience is how long a machine may be silent before it is suspected: a share of
+// its lease, but never less than a report may take.
+func (l *lead) patience() time.Duration {
+	w := l.c.cfg.Facts.Workers
+	return config.Seconds(math.Max(l.c.op.SilentShare*w.LeaseS, 1.25*w.ReportS+1))
+}
+
+// faulty tells whether unlike jobs have failed on a machine and none has finished.
+func faulty(m *machine) bool { return len(m.faults) >= 2 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -90,7 +90,6 @@
 func settings() config.Platform {
 	var p config.Platform
 	f := &p.Facts
-	f.Zones = []string{"a", "b"}
 	f.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 40}}
 	f.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 2, Share: 0.9}}
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 2, 10, 24
