--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// call makes a call of the cloud if the rate allows.
+// call makes a call of the cloud if authority and the rate allow.
 func (l *lead) call(call CloudCall, fn func(CloudReply)) bool {
-	if !l.fleet.calls.AllowN(l.c.now, 1) {
+	if !l.c.entitled() || !l.fleet.calls.AllowN(l.c.now, 1) {
 		return false
 	}
 	l.c.cloud(call, func(r CloudReply) {
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"pumicefront/client"
 	"pumicefront/config"
 	"pumicefront/controller"
@@ -84,6 +86,9 @@
 	}
 	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
 	failed := make(chan error, 1)
+	// Beyond the limit connections wait unaccepted, and the load balancer tries
+	// another controller; the rest of the sockets is for the core's own calls.
+	ln = netutil.LimitListener(ln, s.cfg.Facts.Resources.MaxConnections*2/3)
 	go func() { failed <- h.Serve(ln) }()
 	go s.loop(ctx)
 	slog.Info("serving", "member", s.cfg.Member, "addr", s.cfg.Listen)
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+func TestRoute(t *testing.T) {
+	report := wire.Marshal(wire.Report{Machine: "i-1"})
+	for _, c := range []struct {
+		method, path string
+		body         []byte
+		status       int
+		want         controller.UserOp
+	}{
+		{"GET", "/ready", nil, 0, controller.UserReady},
+		{"POST", "/v2/runs", []byte("x"), 0, controller.UserSubmit},
+		{"GET", "/v2/runs/req-1", nil, 0, controller.UserPoll},
+		{"POST", "/v2/runs/req-1/abort", nil, 0, controller.UserAbort},
+		{"POST", "/v1/report", report, 0, 0},
+		{"GET", "/v2/runs", nil, http.StatusMethodNotAllowed, 0},
+		{"POST", "/ready", nil, http.StatusMethodNotAllowed, 0},
+		{"DELETE", "/v2/runs/req-1", nil, http.StatusMethodNotAllowed, 0},
+		{"GET", "/v2/runs/req-1/abort", nil, http.StatusMethodNotAllowed, 0},
+		{"GET", "/v2/runs/req-1/tasks", nil, http.StatusNotFound, 0},
+		{"GET", "/", nil, http.StatusNotFound, 0},
+		{"POST", "/v1/report", []byte("x"), http.StatusBadRequest, 0},
+		{"POST", "/v2/runs", bytes.Repeat([]byte("x"), wire.MaxBody+1), http.StatusBadRequest, 0},
+	} {
+		in, status := new(Server).route(1, httptest.NewRequest(c.method, c.path, bytes.NewReader(c.body)))
+		if status != c.status {
+			t.Errorf("%s %s: status %d, want %d", c.method, c.path, status, c.status)
+			continue
+		}
+		if u, ok := in.(controller.UserRequest); status == 0 && ok && (u.Op != c.want || u.Op == controller.UserPoll && u.Job != "req-1") {
+			t.Errorf("%s %s: %+v", c.method, c.path, u)
+		}
+	}
+}
+
+// What can't be taken is refused at once, with the time to come back.
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	s := &Server{asked: make(chan request)} // nobody takes anything
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest("POST", "/v2/runs", strings.NewReader("x")))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "1" {
+		t.Errorf("status %d, retry after %q", w.Code, w.Header().Get("Retry-After"))
+	}
+}
