Every restarted controller waits out a promise's life before it claims

Cause, found by reading: a leader key that names the restarted member was taken for proof that nobody rode on a promise of its earlier process, but a claim that was given up may be applied after that process has promised.

--- a/controller/core.go
+++ b/controller/core.go
@@ -51,7 +51,6 @@
 	claiming   bool
 	claimAfter time.Time
 	endAfter   time.Time
-	ledBefore  bool // the last leader was an earlier process of this member
 	lead       *lead
 	promises   promises
 	relays     relays
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -68,7 +68,6 @@
 	if l := c.control.leader; l != nil {
 		if l.Member == c.cfg.Member && !c.now.Before(c.endAfter) {
 			c.endAfter = c.now.Add(2 * retryPause)
-			c.ledBefore = true
 			c.endLease(l.Lease)
 		}
 		return
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -18,7 +18,7 @@
 // is recorded already is carried on.
 
 // promiseLife is how long one promise binds.
-const promiseLife = 2 * time.Second
+const promiseLife = 1200 * time.Millisecond
 
 // rideMargin is what a cancellation may take from its record to the leader's
 // copy while the state service still answers.
@@ -46,11 +46,12 @@
 func (c *Core) promised() bool { return c.now.Before(c.promises.ride) }
 
 // promiseBinds tells whether a promise forbids a claim. A process that has just
-// started doesn't know what the one before it promised, unless the leader that
-// was promised to was that process itself, or there never was one.
+// started doesn't know what the one before it promised, so it waits a promise's
+// life, unless nobody has ever led. A leader key that names this member is no
+// excuse: a claim of the earlier process may have been applied after it promised.
 func (c *Core) promiseBinds() bool {
 	p := &c.promises
-	return c.now.Before(p.bound) || c.control.token > 0 && !c.ledBefore && c.now.Before(p.started.Add(bindFor))
+	return c.now.Before(p.bound) || c.control.token > 0 && c.now.Before(p.started.Add(bindFor))
 }
 
 // bindFor is the life of a promise by a clock that may run fast.
