A new leader asks machines for reports at once instead of waiting to be found

Cause: after an election workers take 1 to 4 s to find the new leader, and nothing is placed on a machine before. Ruled out: reading the records (28 ms). The leader now tells its peers where machines are; the next one asks them by an empty command.

--- a/controller/core.go
+++ b/controller/core.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"pumicefront/config"
+	"pumicefront/mesh"
 	"pumicefront/wire"
 )
 
@@ -54,7 +55,7 @@
 	lead       *lead
 	promises   promises
 	relays     relays
-	images     map[string][]string // by machine, as the last leader told
+	hints      map[string]*mesh.Hint // by machine, as the last leader told
 }
 
 // timer runs a function once its time has come.
@@ -79,7 +80,7 @@
 		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*0.3*share), max(2, int(st.WriteRPS*0.3*share))),
 		types:       map[string]wire.MachineType{},
 		progress:    map[string]jobCount{},
-		images:      map[string][]string{},
+		hints:       map[string]*mesh.Hint{},
 	}
 	c.final.init()
 	c.control.init()
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -125,6 +125,11 @@
 		l.apply(l.machine(id), &r)
 	}
 	clear(l.unknown)
+	for _, id := range slices.Sorted(maps.Keys(c.hints)) {
+		if m := l.machines[id]; (m == nil || !m.up) && c.hints[id].Addr != "" {
+			l.seek(id, c.hints[id].Addr)
+		}
+	}
 	l.wantPlacement()
 }
 
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -35,6 +35,7 @@
 
 	fleet    fleet
 	talkedAt time.Time
+	hintedAt time.Time
 	told     map[string]jobCount
 }
 
--- a/controller/listing.go
+++ b/controller/listing.go
@@ -74,6 +74,9 @@
 		m.since = l.c.now.Add(-config.Seconds(it.AgeS))
 		l.c.log(slog.LevelInfo, "machine found in the list", "machine", it.ID, "type", it.Type, "state", it.State)
 	}
+	if !m.up && it.State == wire.MachineRunning && it.Addr != "" && m.addr != it.Addr {
+		l.seek(it.ID, it.Addr) // once; what has died does not answer
+	}
 	if !m.up {
 		m.typ, m.zone, m.spot, m.addr = it.Type, it.Zone, it.Spot, it.Addr
 	}
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -58,15 +58,31 @@
 			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, ended: map[taskKey]time.Time{},
 			strays: map[taskKey]bool{}, images: map[string]bool{}, faults: map[string]bool{},
 		}
-		for _, image := range l.c.images[id] {
-			m.images[image] = true
+		if h := l.c.hints[id]; h != nil {
+			for _, image := range h.Images {
+				m.images[image] = true
+			}
 		}
-		m.imagesTold = len(m.images)
+		m.imagesTold = -1
 		l.machines[id] = m
 	}
 	return m
 }
 
+// seek asks a machine for a report at once, by a command that says nothing: its
+// worker may take seconds to find a new leader by itself. Any session will do, a
+// refusal carries the report too.
+func (l *lead) seek(id, addr string) {
+	body := wire.Commands{Token: l.token}
+	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body}, func(r WorkerReply) {
+		_, gone := l.released[id]
+		if l.c.lead != l || gone || r.Status == 0 || r.Report.Machine != id || r.Report.Token > l.token {
+			return
+		}
+		l.apply(l.machine(id), &r.Report)
+	})
+}
+
 // report answers a worker. Only a leader with authority may do so with 200.
 func (c *Core) report(r ReportRequest) {
 	l := c.lead
@@ -104,6 +120,8 @@
 	if !m.up {
 		c.log(slog.LevelInfo, "machine up", "machine", m.id, "type", rep.Type, "zone", rep.Zone, "spot", rep.Spot, "after", c.now.Sub(m.since))
 		m.idle = c.now // not idle while it booted
+		// It may have begun a session after our election: its lease counts from now.
+		m.answered = c.now
 		l.wantPlacement()
 	} else if rep.Session > m.session {
 		c.log(slog.LevelInfo, "machine's lease ran out", "machine", m.id, "session", rep.Session)
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -17,7 +17,7 @@
 	return all
 }
 
-// maxHints bounds the machines whose images are remembered.
+// maxHints bounds the machines of which hints are remembered.
 const maxHints = 4096
 
 func (c *Core) broadcast(e *mesh.Envelope) {
@@ -38,11 +38,11 @@
 		if body.Progress.Deaf {
 			c.relays.deaf = c.now.Add(deafFor)
 		}
-		for _, m := range body.Progress.Caches {
-			c.images[m.Machine] = m.Images
+		if len(c.hints) > maxHints {
+			clear(c.hints)
 		}
-		if len(c.images) > maxHints {
-			clear(c.images)
+		for _, h := range body.Progress.Hints {
+			c.hints[h.Machine] = h
 		}
 	case *mesh.Envelope_Relay:
 		c.relayAsked(e.From, body.Relay)
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -18,6 +18,10 @@
 // roundPause gathers what happens close together into one round of placement.
 const roundPause = 5 * time.Millisecond
 
+// hintAllEvery is how often the other controllers are told of all machines: they
+// forget them when they end.
+const hintAllEvery = 10 * time.Second
+
 // wantPlacement asks for a round soon.
 func (l *lead) wantPlacement() {
 	if l.placeAt.IsZero() {
@@ -408,25 +412,30 @@
 			jobs = append(jobs, &mesh.JobProgress{Job: j.id, Done: uint32(n.done), Running: uint32(n.running)})
 		}
 	}
-	caches := l.caches()
+	hints := l.hints()
 	deaf := l.cutZones()[""]
-	if len(jobs)+len(caches) > 0 || deaf {
-		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Caches: caches, Deaf: deaf}}})
+	if len(jobs)+len(hints) > 0 || deaf {
+		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Hints: hints, Deaf: deaf}}})
 	}
 }
 
-// caches lists the machines whose images have changed, as a hint for whoever
-// leads next: reports don't tell which images a machine has.
-func (l *lead) caches() []*mesh.Cache {
-	var cs []*mesh.Cache
+// hints lists what whoever leads next should know of machines that have changed,
+// and now and then of all: where they are reached, since workers take seconds to
+// find a new leader, and their images, which reports don't tell.
+func (l *lead) hints() []*mesh.Hint {
+	all := l.c.now.Sub(l.hintedAt) > hintAllEvery
+	if all {
+		l.hintedAt = l.c.now
+	}
+	var hs []*mesh.Hint
 	for _, m := range l.machineOrder() {
-		if len(m.images) == m.imagesTold {
+		if !m.up || !all && len(m.images) == m.imagesTold {
 			continue
 		}
 		m.imagesTold = len(m.images)
-		images := slices.Sorted(maps.Keys(m.images))
-		l.c.images[m.id] = images
-		cs = append(cs, &mesh.Cache{Machine: m.id, Images: images})
+		h := &mesh.Hint{Machine: m.id, Addr: m.addr, Images: slices.Sorted(maps.Keys(m.images))}
+		l.c.hints[m.id] = h
+		hs = append(hs, h)
 	}
-	return cs
+	return hs
 }
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -101,11 +101,11 @@
 		if h.id <= after || h.born > asOf || h.gone && h.goneAt < asOf {
 			continue
 		}
-		state := "running"
+		state := wire.MachineRunning
 		if h.up > asOf {
 			state = wire.MachineBooting
 		}
-		p.Machines = append(p.Machines, wire.Machine{ID: h.id, Type: h.typ, Zone: h.zone, Spot: h.spot, State: state,
+		p.Machines = append(p.Machines, wire.Machine{ID: h.id, Addr: h.id, Type: h.typ, Zone: h.zone, Spot: h.spot, State: state,
 			AgeS: (asOf - h.born).Seconds()})
 	}
 	return p
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -57,6 +57,7 @@
 	OpForget = "forget"
 
 	MachineBooting = "starting"
+	MachineRunning = "running"
 	MachineFailed  = "failed"
 )
 
