Bring a new image to the emptiest machines, whatever that crowds out

Cause: services of seldom images found room only where their image was not, since two of them side by side had fetched it to one machine. Ruled out: elections (no service came in one).

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -197,6 +197,9 @@
 // for one more large task than the same two on two machines.
 func (d *Demand) crowds(m *Machine) int {
 	n := 0
+	if !m.Images[d.Image] {
+		return 0 // the image had better come to many machines
+	}
 	after := m.Free.Add(d.Each, -1)
 	for _, o := range d.Others {
 		n += m.Free.Fits(o) - after.Fits(o)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -84,6 +84,7 @@
 // two on two machines.
 func TestLoosePlacementCrowdsOutLittle(t *testing.T) {
 	ms := machines(2, "x", 16)
+	ms[0].Images["img"], ms[1].Images["img"] = true, true
 	d := demand(2, 2)
 	d.Loose, d.Others = true, []Resources{{CPUs: 4}}
 	if Place(ms, d); ms[0].Free.Fits(d.Others[0])+ms[1].Free.Fits(d.Others[0]) != 7 {
@@ -91,6 +92,19 @@
 	}
 }
 
+// An image that is nowhere yet comes to as many machines as there are tasks.
+func TestLoosePlacementSpreadsANewImage(t *testing.T) {
+	ms := machines(2, "x", 16)
+	d := demand(2, 2)
+	d.Loose, d.Others = true, []Resources{{CPUs: 4}}
+	for _, m := range ms {
+		m.Part = "one"
+	}
+	if p := Place(ms, d); p[0].Machine == p[1].Machine {
+		t.Fatal("both tasks are on one machine")
+	}
+}
+
 func TestOrder(t *testing.T) {
 	names := []string{"service", "within", "small", "large", "late", "borrowed"}
 	ds := []*Demand{
