--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -22,8 +22,9 @@
 	releasedFor  = 10 * time.Minute // how long a released machine is remembered
 	noCapacity   = 15 * time.Second // how long a refusal is remembered
 	peakHalfLife = 90.0             // seconds in which a class's past peak counts half
-	leastCharge  = 58 * time.Second
-	rentMost     = 8 // machines asked for in one round
+	leastCharge  = 50 * time.Second // a minute is charged at least; a call takes its time
+	returnMost   = 4                // unneeded machines returned in one round
+	rentMost     = 8                // machines asked for in one round
 )
 
 // fleet is the leader's ledger of what it has asked of the cloud.
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -18,6 +18,11 @@
 		return
 	}
 	l.releaseLost()
+	for range returnMost {
+		if m := l.spare(); m != nil {
+			l.release(m, "idle")
+		}
+	}
 	var names []string
 	for _, m := range l.machineOrder() {
 		if m.releasing && len(names) < 100 {
@@ -25,12 +30,7 @@
 		}
 	}
 	if len(names) == 0 {
-		if m := l.spare(); m != nil {
-			l.release(m, "idle")
-			names = append(names, m.id)
-		} else {
-			return
-		}
+		return
 	}
 	f.releasing = l.call(CloudCall{Op: CloudRelease, Names: names}, func(r CloudReply) {
 		f.releasing = false
