--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -28,12 +27,8 @@
 	receive func(*Envelope)
 }
 
-// New starts listening on addr and a sender for every peer (name to address).
-func New(ctx context.Context, addr string, peers map[string]string, receive func(*Envelope)) (*Mesh, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("mesh: %w", err)
-	}
+// New starts to receive on ln, and a sender for every peer (name to address).
+func New(ctx context.Context, ln net.Listener, peers map[string]string, receive func(*Envelope)) *Mesh {
 	m := &Mesh{queues: map[string]chan *Envelope{}, receive: receive}
 	for name, peer := range peers {
 		q := make(chan *Envelope, queueLen)
@@ -41,7 +36,7 @@
 		go sender(ctx, peer, q)
 	}
 	go m.accept(ln)
-	return m, nil
+	return m
 }
 
 // Send queues a message to a peer, or drops it when the queue is full.
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -32,6 +33,8 @@
 	answerTimeout = 3 * time.Second
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 90 * time.Second
+	listenPause   = 200 * time.Millisecond
+	listenTries   = 100
 )
 
 // Server runs one controller.
@@ -70,20 +73,20 @@
 	for _, o := range s.cfg.Others {
 		peers[o.Member] = o.Addr
 	}
-	m, err := mesh.New(ctx, s.cfg.Mesh, peers, func(e *mesh.Envelope) {
+	meshLn, err := listen(s.cfg.Mesh)
+	if err != nil {
+		return err
+	}
+	s.mesh = mesh.New(ctx, meshLn, peers, func(e *mesh.Envelope) {
 		select {
 		case s.inputs <- controller.MeshMessage{Envelope: e}:
 		default: // overloaded: the mesh promises nothing
 		}
 	})
+	ln, err := listen(s.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	s.mesh = m
-	ln, err := net.Listen("tcp", s.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
 	failed := make(chan error, 1)
 	// Beyond the limit connections wait unaccepted, and the load balancer tries
@@ -100,6 +103,23 @@
 	}
 }
 
+// listen waits a while for an address that is in use: after a process was killed,
+// a connection of another may hold its port for a moment, and ending over that
+// would only delay the start.
+func listen(addr string) (net.Listener, error) {
+	for tries := 0; ; tries++ {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			return ln, nil
+		}
+		if tries == listenTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		slog.Info("address in use, trying again", "addr", addr)
+		time.Sleep(listenPause)
+	}
+}
+
 // loop is the one goroutine that owns the core.
 func (s *Server) loop(ctx context.Context) {
 	waiting := map[uint64]chan controller.Answer{}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -53,3 +53,29 @@
 		t.Errorf("status %d, retry after %q", w.Code, w.Header().Get("Retry-After"))
 	}
 }
+
+// A port that is still held when the process starts must not end it.
+func TestListenWaitsForItsPort(t *testing.T) {
+	held, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := held.Addr().String()
+	done := make(chan error)
+	go func() {
+		ln, err := listen(addr)
+		if err == nil {
+			err = ln.Close()
+		}
+		done <- err
+	}()
+	if err := held.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if _, err := listen("203.0.113.1:1"); err == nil {
+		t.Error("an address of another machine is taken")
+	}
+}
