Probe overdue machines early, and look at them four times a second

Now it is probed after a quarter more than a report's interval and released when the probe stays unanswered.

--- a/config/config.go
+++ b/config/config.go
@@ -87,7 +87,7 @@
 
 // DefaultOperator are the settings where the file says nothing.
 func DefaultOperator() Operator {
-	return Operator{LeaderLife: "1.4s", SilentShare: 0.3, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5}
+	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5}
 }
 
 // LeaderLifetime is the life of the leader's lease.
--- a/controller/core.go
+++ b/controller/core.go
@@ -18,6 +18,7 @@
 	userCallTimeout  = 600 * time.Millisecond
 	leadCallTimeout  = 2 * time.Second
 	cloudCallTimeout = 5 * time.Second
+	probeTimeout     = 700 * time.Millisecond
 	watchWait        = 4 * time.Second
 	retryPause       = 200 * time.Millisecond
 	tickEvery        = 250 * time.Millisecond
@@ -184,7 +185,7 @@
 }
 
 func (c *Core) worker(call WorkerCall, fn func(WorkerReply)) {
-	call.ID, call.Timeout = c.id(), leadCallTimeout
+	call.ID = c.id()
 	c.workerCalls[call.ID] = fn
 	c.emit(call)
 }
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -31,6 +31,7 @@
 type fleet struct {
 	calls     *rate.Limiter
 	ranAt     time.Time
+	lookedAt  time.Time
 	listedAt  time.Time
 	listing   bool
 	typesAt   time.Time
@@ -79,9 +80,14 @@
 	}
 }
 
-// runFleet looks after the machines once a second.
+// runFleet looks after silent machines at every tick and after the rest once a
+// second.
 func (l *lead) runFleet() {
 	f := &l.fleet
+	if l.c.now.Sub(f.lookedAt) >= tickEvery {
+		f.lookedAt = l.c.now
+		l.returnMachines()
+	}
 	if l.c.now.Sub(f.ranAt) < fleetEvery {
 		return
 	}
@@ -95,7 +101,7 @@
 	l.refreshTypes()
 	l.refreshList()
 	l.askHires()
-	l.returnMachines()
+	l.returnSpare()
 	if len(l.c.types) > 0 && l.c.now.Before(l.authority) {
 		l.rentMore()
 	}
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -36,6 +36,7 @@
 	notice              bool
 	releasing           bool
 	leaseOut            bool
+	unanswered          bool // the last command got no answer, and no report came since
 
 	attempts   map[taskKey]*attempt
 	runToken   map[taskKey]uint64 // highest token that a run was sent with
@@ -74,7 +75,7 @@
 // refusal carries the report too.
 func (l *lead) seek(id, addr string) {
 	body := wire.Commands{Token: l.token}
-	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body}, func(r WorkerReply) {
+	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body, Timeout: leadCallTimeout}, func(r WorkerReply) {
 		_, gone := l.released[id]
 		if l.c.lead != l || gone || r.Status == 0 || r.Report.Machine != id || r.Report.Token > l.token {
 			return
@@ -130,6 +131,7 @@
 		m.answered = c.now
 	}
 	m.up, m.addr, m.typ, m.zone, m.spot = true, rep.Addr, rep.Type, rep.Zone, rep.Spot
+	m.unanswered = false
 	m.session, m.seq, m.token, m.reported = rep.Session, rep.Seq, rep.Token, c.now
 	if notice := rep.NoticeS != nil; notice != m.notice {
 		m.notice = notice
@@ -329,12 +331,17 @@
 
 func (l *lead) command(m *machine, cs []wire.Command) {
 	m.calling = true
+	timeout := leadCallTimeout
+	if len(cs) == 0 {
+		timeout = probeTimeout
+	}
 	body := wire.Commands{Token: l.token, Session: m.session, Commands: cs}
-	l.c.worker(WorkerCall{Machine: m.id, Addr: m.addr, Commands: body}, func(r WorkerReply) {
+	l.c.worker(WorkerCall{Machine: m.id, Addr: m.addr, Commands: body, Timeout: timeout}, func(r WorkerReply) {
 		if l.c.lead != l || l.machines[m.id] != m {
 			return
 		}
 		m.calling = false
+		m.unanswered = r.Status == 0
 		if r.Status == 0 || r.Report.Machine != m.id {
 			return
 		}
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -10,19 +10,23 @@
 	"pumicefront/scheduler"
 )
 
+// returnSpare gives back machines that are not needed.
+func (l *lead) returnSpare() {
+	for range returnMost {
+		if m := l.spare(); m != nil {
+			l.release(m, "idle")
+		}
+	}
+}
+
 // returnMachines gives back what never came up, what has gone silent and what
-// is not needed.
+// was found not to be needed.
 func (l *lead) returnMachines() {
 	f := &l.fleet
 	if f.releasing {
 		return
 	}
 	l.releaseLost()
-	for range returnMost {
-		if m := l.spare(); m != nil {
-			l.release(m, "idle")
-		}
-	}
 	var names []string
 	for _, m := range l.machineOrder() {
 		if m.releasing && len(names) < 100 {
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -135,7 +135,7 @@
 			d.Others = l.otherClasses(d.Class)
 		}
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
-		d.Late, d.WorkS = l.late(j), l.workLeft(j)
+		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
@@ -144,10 +144,10 @@
 	return ds
 }
 
-// late counts the aims on finishing that a job can't meet any more. One that has
+// missed counts the aims on finishing that a job can't meet any more. One that has
 // waited out several times the last of them, or has lost work to a failure, is
 // not passed over.
-func (l *lead) late(j *job) int {
+func (l *lead) missed(j *job) int {
 	age := l.c.now.Sub(j.accepted).Seconds()
 	n, last := 0, 0.0
 	for _, o := range l.c.cfg.Facts.Objectives {
@@ -323,7 +323,7 @@
 	order := make([]ranked, 0, len(l.order))
 	for _, j := range l.order {
 		if !j.cancelled {
-			order = append(order, ranked{j, l.late(j), l.workLeft(j)})
+			order = append(order, ranked{j, l.missed(j), l.workLeft(j)})
 		}
 	}
 	slices.SortStableFunc(order, func(a, b ranked) int {
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -24,14 +24,19 @@
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case silence > 3*lease, silence > l.patience() && !cut[m.zone] && !cut[""] && l.canMove(m):
+		case silence > 3*lease, silence > l.patience() && m.unanswered && !cut[m.zone] && !cut[""] && l.canMove(m):
 			l.release(m, "silent")
-		case l.silent(m) && !m.calling:
+		case l.late(m) && !m.calling:
 			l.command(m, nil) // it may only be its reports that don't arrive
 		}
 	}
 }
 
+// late tells whether a machine's report is overdue.
+func (l *lead) late(m *machine) bool {
+	return l.c.now.Sub(m.reported) > config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25)+250*time.Millisecond
+}
+
 // cutZones lists the zones of which most machines are silent, and "" where a
 // quarter of all is: that speaks for a fault on the way to us, not on the
 // machines. They are left their leases, and come back with what they ran.
@@ -43,7 +48,7 @@
 		}
 		all[m.zone]++
 		all[""]++
-		if l.silent(m) {
+		if l.late(m) {
 			silent[m.zone]++
 			silent[""]++
 		}
--- a/deploy/pumicefront.hcl
+++ b/deploy/pumicefront.hcl
@@ -1,6 +1,6 @@
 # Operators' own settings; docs/operations.md explains each.
 leader_life   = "1.4s"
-silent_share  = 0.3
+silent_share  = 0.25
 idle_s        = 15
 headroom      = 0.1
 headroom_most = 1.5
