--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -45,21 +45,21 @@
 
 // attempt is one try of a task on a machine, in force until it is proved gone.
 type attempt struct {
-	job      *job
-	task     int
-	number   uint64
-	machine  *machine
-	session  uint64 // that its run command is addressed to
-	token    uint64 // the highest that its run may have been sent with
-	recorded bool   // the record is written: run may be sent
-	sent     bool
-	seen     bool // a report has shown it
-	running  bool
-	placed   time.Time
-	since    time.Time // running since
-	stopping bool
-	stoppedA time.Time
-	grace    float64
+	job       *job
+	task      int
+	number    uint64
+	machine   *machine
+	session   uint64 // that its run command is addressed to
+	token     uint64 // the highest that its run may have been sent with
+	recorded  bool   // the record is written: run may be sent
+	sent      bool
+	seen      bool // a report has shown it
+	running   bool
+	placed    time.Time
+	since     time.Time // running since
+	stopping  bool
+	stoppedAt time.Time
+	grace     float64
 }
 
 // write is one write of a job's records, sent again unchanged while in doubt.
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -301,7 +301,7 @@
 		return
 	}
 	if !a.stopping {
-		a.stoppedA = l.c.now
+		a.stoppedAt = l.c.now
 	}
 	a.stopping, a.grace = true, grace
 	if a.sent {
@@ -392,7 +392,7 @@
 			}
 		}
 		for _, a := range m.attempts {
-			if a.stopping && !a.seen && now.Sub(a.stoppedA) > bumpCancelled && a.token >= l.token {
+			if a.stopping && !a.seen && now.Sub(a.stoppedAt) > bumpCancelled && a.token >= l.token {
 				l.raiseToken("stopped attempt in doubt")
 			}
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -350,8 +350,6 @@
 	return w.cfg.Facts.Teams[i]
 }
 
-func key(task string, attempt uint64) string { return fmt.Sprintf("%s#%d", task, attempt) }
-
 func types() []wire.MachineType {
 	return []wire.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 0.5, Price: 1, SpotPrice: 0.4, BootS: 8, Zones: []string{"a", "b"}},
