One piece of code where there were several, from a reading of the whole

Sending over the mesh, the price of a kind, and when a report is overdue stood in several places. Guarantees are worked out once a round instead of twice, and not at all for views in which nothing is preempted; the search for unneeded machines stops at the first round that finds none. The leader's record no longer says which process led: nothing has read it since restarted ones all wait.

--- a/controller/core.go
+++ b/controller/core.go
@@ -32,7 +32,6 @@
 	cfg  *config.Platform
 	op   config.Operator
 	rng  *rand.Rand
-	inc  uint64 // tells this process from earlier ones of the same member
 	now  time.Time
 	out  []Output
 	next uint64
@@ -73,7 +72,7 @@
 	share := 1 / float64(len(cfg.Others)+1)
 	st := cfg.Facts.State
 	c := &Core{
-		cfg: cfg, op: op, rng: rng, inc: rng.Uint64() >> 1, now: now,
+		cfg: cfg, op: op, rng: rng, now: now,
 		stateCalls:  map[uint64]func(StateReply){},
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -185,7 +185,7 @@
 			return // not answered yet: its machines are not counted
 		}
 	}
-	machines := l.view(true)
+	machines := l.view(true, nil)
 	demands := append(l.backlog(), l.headroom()...)
 	wants := scheduler.Fleet(machines, demands, l.offers(), rentMost)
 	for _, w := range wants {
@@ -197,7 +197,7 @@
 // does not wait for a machine to boot where running tasks end sooner than that.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
-	ds := l.demands()
+	ds := l.demands(l.borrowed())
 	scheduler.Order(ds)
 	ending := l.endingSoon()
 	for _, d := range ds {
@@ -267,11 +267,7 @@
 				if refused && l.c.now.Sub(at) < noCapacity {
 					continue
 				}
-				price := t.Price
-				if spot {
-					price = t.SpotPrice
-				}
-				out = append(out, scheduler.Offer{Type: name, Zone: zone, Spot: spot, Cap: capOf(t), Price: price})
+				out = append(out, scheduler.Offer{Type: name, Zone: zone, Spot: spot, Cap: capOf(t), Price: priceOf(t, spot)})
 			}
 		}
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -100,7 +100,7 @@
 // token in the same transaction.
 func (c *Core) claim(sent time.Time, lease uint64) {
 	token := c.control.token + 1
-	set := put(leaderKey, leaderRecord{c.cfg.Member, c.inc, lease})
+	set := put(leaderKey, leaderRecord{c.cfg.Member, lease})
 	set.Lease = lease
 	txn := wire.Txn{
 		If:   []wire.Cond{{Key: leaderKey}, {Key: tokenKey, Version: c.control.versions[tokenKey]}},
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -252,7 +252,7 @@
 	for _, a := range m.sorted() {
 		if a.stopping {
 			cs = append(cs, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: a.grace})
-		} else if a.recorded && !a.seen && l.mayRun(a) {
+		} else if !a.seen && l.mayRun(a) {
 			cs = append(cs, l.runCommand(a))
 		}
 	}
@@ -348,11 +348,7 @@
 		l.apply(m, &r.Report)
 		if r.Status == http.StatusConflict && r.Report.Token <= l.token {
 			// Refused for an older token or session: what is still wanted goes again.
-			for _, a := range m.sorted() {
-				if !a.seen && a.recorded {
-					m.outbox = append(m.outbox, a)
-				}
-			}
+			m.outbox = append(m.outbox, m.sorted()...)
 		}
 	})
 }
@@ -399,12 +395,6 @@
 	}
 }
 
-// silent tells whether a machine has not been heard of for too long to be given
-// new work.
-func (l *lead) silent(m *machine) bool {
-	return l.c.now.Sub(m.reported) > config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25)+time.Second
-}
-
 // drain moves what loses nothing, or can save, off a machine that will be taken.
 func (l *lead) drain(m *machine) {
 	for _, a := range m.sorted() {
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -20,10 +20,14 @@
 // maxHints bounds the machines of which hints are remembered.
 const maxHints = 4096
 
-func (c *Core) broadcast(e *mesh.Envelope) {
+func (c *Core) sendMesh(to string, e *mesh.Envelope) {
 	e.From = c.cfg.Member
+	c.emit(MeshSend{To: to, Envelope: e})
+}
+
+func (c *Core) broadcast(e *mesh.Envelope) {
 	for _, o := range c.cfg.Others {
-		c.emit(MeshSend{To: o.Member, Envelope: e})
+		c.sendMesh(o.Member, e)
 	}
 }
 
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -73,8 +73,8 @@
 // can is found out by trying.
 func (c *Core) promiseAsked(from string, ask *mesh.PromiseAsk) {
 	answer := func(granted bool) {
-		c.emit(MeshSend{To: from, Envelope: &mesh.Envelope{From: c.cfg.Member, Body: &mesh.Envelope_Promise{
-			Promise: &mesh.Promise{Token: ask.Token, Round: ask.Round, Granted: granted}}}})
+		c.sendMesh(from, &mesh.Envelope{Body: &mesh.Envelope_Promise{
+			Promise: &mesh.Promise{Token: ask.Token, Round: ask.Round, Granted: granted}}})
 	}
 	free := func() bool {
 		return c.lead == nil && !c.claiming && c.control.token <= ask.Token &&
--- a/controller/record.go
+++ b/controller/record.go
@@ -23,7 +23,6 @@
 // leaderRecord says who leads.
 type leaderRecord struct {
 	Member string `cbor:"m"`
-	Inc    uint64 `cbor:"i"`
 	Lease  uint64 `cbor:"l"`
 }
 
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -57,8 +57,7 @@
 	}
 	id := c.id()
 	c.relays.asked[id] = r
-	c.emit(MeshSend{To: leader, Envelope: &mesh.Envelope{From: c.cfg.Member,
-		Body: &mesh.Envelope_Relay{Relay: &mesh.Relay{Id: id, Report: wire.Marshal(r.Report)}}}})
+	c.sendMesh(leader, &mesh.Envelope{Body: &mesh.Envelope_Relay{Relay: &mesh.Relay{Id: id, Report: wire.Marshal(r.Report)}}})
 	c.after(relayPatience, func() { c.relayAnswered(&mesh.RelayAnswer{Id: id}) })
 }
 
@@ -103,8 +102,8 @@
 		return false
 	}
 	delete(c.relays.serving, a.Req)
-	c.emit(MeshSend{To: to.from, Envelope: &mesh.Envelope{From: c.cfg.Member, Body: &mesh.Envelope_Relayed{
-		Relayed: &mesh.RelayAnswer{Id: to.id, Status: uint32(a.Status), Body: wire.Marshal(a.Body)}}}})
+	c.sendMesh(to.from, &mesh.Envelope{Body: &mesh.Envelope_Relayed{
+		Relayed: &mesh.RelayAnswer{Id: to.id, Status: uint32(a.Status), Body: wire.Marshal(a.Body)}}})
 	return true
 }
 
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -8,14 +8,17 @@
 	"pumicefront/config"
 	"pumicefront/reduction"
 	"pumicefront/scheduler"
+	"pumicefront/wire"
 )
 
 // returnSpare gives back machines that are not needed.
 func (l *lead) returnSpare() {
 	for range returnMost {
-		if m := l.spare(); m != nil {
-			l.release(m, "idle")
+		m := l.spare()
+		if m == nil {
+			return
 		}
+		l.release(m, "idle")
 	}
 }
 
@@ -88,7 +91,7 @@
 		return nil
 	}
 	without := func(s *scheduler.Machine) bool { return s.ID == best.id }
-	if l.holds(slices.DeleteFunc(l.view(true), without)) < l.holds(l.view(true)) {
+	if l.holds(slices.DeleteFunc(l.view(true, nil), without)) < l.holds(l.view(true, nil)) {
 		return nil
 	}
 	return best
@@ -105,9 +108,10 @@
 	return n
 }
 
-func (l *lead) price(m *machine) float64 {
-	t := l.c.types[m.typ]
-	if m.spot {
+func (l *lead) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
+
+func priceOf(t wire.MachineType, spot bool) float64 {
+	if spot {
 		return t.SpotPrice
 	}
 	return t.Price
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -37,12 +37,13 @@
 		return
 	}
 	l.placeAt = time.Time{}
-	demands := l.demands()
+	borrowed := l.borrowed()
+	demands := l.demands(borrowed)
 	if len(demands) == 0 {
 		return
 	}
 	scheduler.Order(demands)
-	machines := l.view(false)
+	machines := l.view(false, borrowed)
 	used := l.teamUse()
 	full := map[classKey]bool{}
 	for _, d := range demands {
@@ -110,10 +111,9 @@
 	return classKey{d.Class, d.Team, d.Zone, types, d.Each, d.Spot, d.Rank, d.Within}
 }
 
-// demands lists the frontiers of all jobs.
-func (l *lead) demands() []*scheduler.Demand {
+// demands lists the frontiers of all jobs, given those beyond their guarantee.
+func (l *lead) demands(borrowed map[*job]bool) []*scheduler.Demand {
 	var ds []*scheduler.Demand
-	borrowed := l.borrowed()
 	for _, j := range l.order {
 		if j.cancelled || j.state.Count(reduction.Pending) == 0 {
 			continue
@@ -249,9 +249,8 @@
 }
 
 // view makes the scheduler's picture of the machines; with booting, those that
-// are not up yet count too.
-func (l *lead) view(booting bool) []*scheduler.Machine {
-	borrowed := l.borrowed()
+// are not up yet count too. Where nothing is preempted, borrowed may be nil.
+func (l *lead) view(booting bool, borrowed map[*job]bool) []*scheduler.Machine {
 	var ms []*scheduler.Machine
 	for _, m := range l.machineOrder() {
 		t, ok := l.c.types[m.typ]
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"math"
 	"time"
 
 	"pumicefront/config"
@@ -32,9 +31,20 @@
 	}
 }
 
+// reportDue is how long after a report the next one should have come, with slack.
+func (l *lead) reportDue(slack time.Duration) time.Duration {
+	return config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25) + slack
+}
+
 // late tells whether a machine's report is overdue.
 func (l *lead) late(m *machine) bool {
-	return l.c.now.Sub(m.reported) > config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25)+250*time.Millisecond
+	return l.c.now.Sub(m.reported) > l.reportDue(250*time.Millisecond)
+}
+
+// silent tells whether a machine has not been heard of for too long to be given
+// new work.
+func (l *lead) silent(m *machine) bool {
+	return l.c.now.Sub(m.reported) > l.reportDue(time.Second)
 }
 
 // cutZones lists the zones of which most machines are silent, and "" where a
@@ -81,7 +91,7 @@
 // canMove tells whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
 func (l *lead) canMove(m *machine) bool {
-	machines := l.view(false)
+	machines := l.view(false, nil)
 	for _, a := range m.sorted() {
 		d := demandOf(&a.job.spec)
 		d.Tasks, d.RoomInTeam = []int{a.task}, 1
@@ -130,8 +140,7 @@
 // patience is how long a machine may be silent before it is suspected: a share of
 // its lease, but never less than a report may take.
 func (l *lead) patience() time.Duration {
-	w := l.c.cfg.Facts.Workers
-	return config.Seconds(math.Max(l.c.op.SilentShare*w.LeaseS, 1.25*w.ReportS+1))
+	return max(config.Seconds(l.c.op.SilentShare*l.c.cfg.Facts.Workers.LeaseS), l.reportDue(time.Second))
 }
 
 // faulty tells whether unlike jobs have failed on a machine and none has finished.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,7 +40,7 @@
 	Cap, Free      Resources
 	Soon           Resources // becomes free when stopped tasks are gone
 	Images         map[string]bool
-	Penalty        int  // suspected slow or faulty: taken last
+	Penalty        int  // suspected faulty: taken last
 	Virtual        bool // booting, or only thought of: counts for the fleet alone
 	Tasks          []Victim
 }
