Cost follows what changed: pictures of machines kept, rounds and proofs paced, one heap per job

Now a machine's picture is drawn again only when it changed, proofs are looked for ten times a second, commands and writes go by lists of what is due, a job is placed with one heap instead of a scan per task, and preemption weighs every machine once. Writes that tell of counts alone wait a second, so that placements go first. Unneeded machines are found by one placing of all that waits.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -36,7 +36,7 @@
 	j.chunks[0].next++
 	a := &attempt{job: j, task: task, number: j.chunks[0].next, machine: m, session: m.session, recorded: true}
 	j.attempts[task] = a
-	m.attempts[a.key()] = a
+	m.force(a)
 	j.state.Start(task)
 	return a
 }
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -23,8 +23,10 @@
 	noCapacity   = 15 * time.Second // how long a refusal is remembered
 	peakHalfLife = 90.0             // seconds in which a class's past peak counts half
 	leastCharge  = 50 * time.Second // a minute is charged at least; a call takes its time
-	returnMost   = 4                // unneeded machines returned in one round
-	rentMost     = 8                // machines asked for in one round
+	returnMost   = 4                // unneeded machines returned in one round,
+	returnShare  = 16               // or this part of all if that is more
+	rentCall     = 50               // machines that one request may ask for
+	rentMost     = 8                // requests for machines made in one round
 )
 
 // fleet is the leader's ledger of what it has asked of the cloud.
@@ -185,11 +187,13 @@
 			return // not answered yet: its machines are not counted
 		}
 	}
-	machines := l.view(true, nil)
+	machines := l.view(true)
 	demands := append(l.backlog(), l.headroom()...)
 	wants := scheduler.Fleet(machines, demands, l.offers(), rentMost)
 	for _, w := range wants {
-		l.rent(wire.Rent{Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(w.Count, 50)})
+		for left := w.Count; left > 0; left -= rentCall {
+			l.rent(wire.Rent{Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(left, rentCall)})
+		}
 	}
 }
 
@@ -197,7 +201,7 @@
 // does not wait for a machine to boot where running tasks end sooner than that.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
-	ds := l.demands(l.borrowed())
+	ds := l.demands()
 	scheduler.Order(ds)
 	ending := l.endingSoon()
 	for _, d := range ds {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -30,9 +30,11 @@
 	avoid     map[string]bool
 	dirty     bool // chunks hold what their records don't, or the job is over
 	dirtyAt   time.Time
+	pressing  bool // its write starts tasks or tells the end; counts alone can wait
 	write     *write
 	holdUntil time.Time
 	over      bool // the final record is written
+	terms     *scheduler.Terms
 	hurt      bool // has lost an attempt to a failure, or gave way: goes on first
 }
 
@@ -149,7 +151,7 @@
 			token: l.token - 1, recorded: true, sent: true, placed: l.elected}
 		m.zone = p.Zone
 		j.attempts[p.Task] = a
-		m.attempts[a.key()] = a
+		m.force(a)
 		j.state.Start(p.Task)
 	}
 }
@@ -163,6 +165,9 @@
 		chunks:  make([]chunk, (h.Job.Tasks+per-1)/per),
 		retryAt: map[int]time.Time{}, fails: map[int]int{}, avoid: map[string]bool{},
 	}
+	j.terms = &scheduler.Terms{Job: id, Team: h.Job.Team, Rank: slices.Index(wire.Priorities, h.Job.Priority),
+		Each: jobEach(&h.Job), CheckpointS: h.Job.CheckpointS}
+	l.sharesAt = time.Time{}
 	l.jobs[id] = j
 	at, _ := slices.BinarySearchFunc(l.order, j, func(a, b *job) int {
 		if n := a.accepted.Compare(b.accepted); n != 0 {
@@ -234,7 +239,7 @@
 		return
 	}
 	delete(j.attempts, a.task)
-	delete(a.machine.attempts, a.key())
+	a.machine.drop(a)
 	j.hurt = j.hurt || a.seen && o == reduction.Reset
 	j.state.Accumulate(a.task, o)
 	if !j.over {
@@ -270,32 +275,56 @@
 	}
 	if j.state.Count(reduction.Pending) == 0 && j.state.Count(reduction.Running) == 0 {
 		j.mark(l.c.now)
+		j.pressing = true
 	}
 }
 
+// countsWait is how long a write may wait that tells of counts alone: finishes
+// that come one by one share a write, and what tasks wait for goes first.
+const countsWait = time.Second
+
 // flush writes what is dirty, oldest first: one conditional write per job and
 // round, under the budget.
 func (l *lead) flush() {
 	if !l.c.now.Before(l.authority) {
 		return // under promises alone nothing can be written
 	}
+	if l.c.now.Before(l.flushAt) {
+		return
+	}
 	var due []*job
 	for _, j := range l.order {
-		if j.dirty && j.write == nil && !l.c.now.Before(j.holdUntil) {
+		if j.dirty && j.write == nil && !l.c.now.Before(j.holdUntil) && (j.pressing || l.c.now.Sub(j.dirtyAt) >= countsWait) {
 			due = append(due, j)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *job) int { return a.dirtyAt.Compare(b.dirtyAt) })
+	slices.SortStableFunc(due, func(a, b *job) int {
+		if a.pressing != b.pressing {
+			if a.pressing {
+				return -1
+			}
+			return 1
+		}
+		return a.dirtyAt.Compare(b.dirtyAt)
+	})
+	const pause = 20 * time.Millisecond
 	for _, j := range due {
+		if l.writes.TokensAt(l.c.now) < 1 { // before anything is encoded in vain
+			l.flushAt = l.c.now.Add(pause)
+			l.c.after(pause, func() {})
+			return
+		}
 		w := l.compose(j)
 		if w == nil {
 			continue
 		}
 		if !l.writes.AllowN(l.c.now, min(len(w.txn.Then), l.writes.Burst())) {
 			j.undo(w) // what compose took must stay dirty, or it is never written
-			l.c.after(20*time.Millisecond, func() {})
+			l.flushAt = l.c.now.Add(pause)
+			l.c.after(pause, func() {})
 			return
 		}
+		j.pressing = false
 		j.write = w
 		l.send(j)
 	}
@@ -436,6 +465,7 @@
 			l.gone(a, reduction.Reset, "never sent")
 		default:
 			a.machine.outbox = append(a.machine.outbox, a)
+			l.hasToSend(a.machine)
 		}
 	}
 }
@@ -458,7 +488,7 @@
 	for _, n := range w.chunks {
 		j.chunks[n].dirty = true
 	}
-	j.dirty = true
+	j.dirty, j.pressing = true, true
 }
 
 // discard gives up a write that did not run; what it held is dirty again.
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
@@ -22,16 +23,23 @@
 	authority time.Time // until when the state service's lease is ours for sure
 	recovered bool
 
-	jobs     map[string]*job
-	order    []*job // by acceptance
-	machines map[string]*machine
-	released map[string]time.Time
-	orphans  []string // task records whose job is over
-	writes   *rate.Limiter
-	placeAt  time.Time // when the next round of placement is due; zero: none
-	bumpedAt time.Time
-	bumping  bool
-	unknown  map[string]wire.Report // reports that came before the records were read
+	jobs       map[string]*job
+	order      []*job // by acceptance
+	machines   map[string]*machine
+	fleetOrder []*machine // the same by name
+	toSend     []*machine // that commands may wait for
+	provedAt   time.Time
+	scratch    []scheduler.Machine // reused by every view
+	shares     map[*job]bool       // see borrowed
+	sharesAt   time.Time
+	flushAt    time.Time // no write before: the budget is used up
+	released   map[string]time.Time
+	orphans    []string // task records whose job is over
+	writes     *rate.Limiter
+	placeAt    time.Time // when the next round of placement is due; zero: none
+	bumpedAt   time.Time
+	bumping    bool
+	unknown    map[string]wire.Report // reports that came before the records were read
 
 	fleet    fleet
 	talkedAt time.Time
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -13,6 +13,9 @@
 	"pumicefront/wire"
 )
 
+// proveEvery is how often time is asked for proofs.
+const proveEvery = 100 * time.Millisecond
+
 // taskKey names one attempt of one task.
 type taskKey struct {
 	task    string
@@ -39,6 +42,8 @@
 	unanswered          bool // the last command got no answer, and no report came since
 
 	attempts   map[taskKey]*attempt
+	list       []*attempt         // the same in order; never changed in place, so that it can be walked meanwhile
+	picture    *scheduler.Machine // as a round of placement sees it; nil: to be made anew
 	runToken   map[taskKey]uint64 // highest token that a run was sent with
 	ended      map[taskKey]time.Time
 	strays     map[taskKey]bool // live attempts that are in nobody's record
@@ -47,9 +52,27 @@
 	faults     map[string]bool // jobs that failed here
 	outbox     []*attempt
 	stops      []wire.Command
+	waiting    bool // listed among those with something to send
 	calling    bool
 }
 
+// force puts an attempt in force on its machine.
+func (m *machine) force(a *attempt) {
+	m.attempts[a.key()] = a
+	at, _ := slices.BinarySearchFunc(m.list, a, func(x, y *attempt) int {
+		return cmp.Or(cmp.Compare(x.job.id, y.job.id), cmp.Compare(x.task, y.task))
+	})
+	m.list = slices.Insert(slices.Clone(m.list), at, a)
+	m.picture = nil
+}
+
+// drop takes an attempt out of force.
+func (m *machine) drop(a *attempt) {
+	delete(m.attempts, a.key())
+	m.list = slices.DeleteFunc(slices.Clone(m.list), func(o *attempt) bool { return o == a })
+	m.picture = nil
+}
+
 // machine returns the ledger's entry, made when it is first heard of.
 func (l *lead) machine(id string) *machine {
 	m := l.machines[id]
@@ -66,6 +89,8 @@
 		}
 		m.imagesTold = -1
 		l.machines[id] = m
+		at, _ := slices.BinarySearchFunc(l.fleetOrder, id, func(o *machine, id string) int { return cmp.Compare(o.id, id) })
+		l.fleetOrder = slices.Insert(l.fleetOrder, at, m)
 	}
 	return m
 }
@@ -131,7 +156,7 @@
 		m.answered = c.now
 	}
 	m.up, m.addr, m.typ, m.zone, m.spot = true, rep.Addr, rep.Type, rep.Zone, rep.Spot
-	m.unanswered = false
+	m.unanswered, m.picture = false, nil
 	m.session, m.seq, m.token, m.reported = rep.Session, rep.Seq, rep.Token, c.now
 	if notice := rep.NoticeS != nil; notice != m.notice {
 		m.notice = notice
@@ -151,7 +176,7 @@
 			delete(m.runToken, k)
 		}
 	}
-	for _, a := range m.sorted() {
+	for _, a := range m.list {
 		if !listed[a.key()] {
 			l.absent(a)
 		}
@@ -161,17 +186,6 @@
 	}
 }
 
-func (m *machine) sorted() []*attempt {
-	as := make([]*attempt, 0, len(m.attempts))
-	for _, a := range m.attempts {
-		as = append(as, a)
-	}
-	slices.SortFunc(as, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.task, b.task))
-	})
-	return as
-}
-
 // applyTask takes in one line of a report.
 func (l *lead) applyTask(m *machine, k taskKey, t wire.Task) {
 	id, n, ok := wire.SplitTask(t.ID)
@@ -249,7 +263,7 @@
 // commands lists what a report's answer tells the worker.
 func (l *lead) commands(m *machine) []wire.Command {
 	var cs []wire.Command
-	for _, a := range m.sorted() {
+	for _, a := range m.list {
 		if a.stopping {
 			cs = append(cs, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: a.grace})
 		} else if !a.seen && l.mayRun(a) {
@@ -304,17 +318,30 @@
 		a.stoppedAt = l.c.now
 	}
 	a.stopping, a.grace = true, grace
+	a.machine.picture = nil
 	if a.sent {
 		a.machine.stops = append(a.machine.stops, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: grace})
+		l.hasToSend(a.machine)
+	}
+}
+
+// hasToSend lists a machine among those that commands wait for.
+func (l *lead) hasToSend(m *machine) {
+	if !m.waiting {
+		m.waiting = true
+		l.toSend = append(l.toSend, m)
 	}
 }
 
 // sendCommands sends directly what can't wait for the next report. A command
 // without an answer may still run; the attempt stays in force either way.
 func (l *lead) sendCommands() {
-	for _, m := range l.machineOrder() {
+	ms := l.toSend
+	l.toSend = nil
+	for _, m := range ms {
+		m.waiting = false
 		if m.calling || len(m.outbox)+len(m.stops) == 0 {
-			continue
+			continue // the end of the call lists it again
 		}
 		cs := m.stops
 		for _, a := range m.outbox {
@@ -341,6 +368,7 @@
 			return
 		}
 		m.calling = false
+		l.hasToSend(m)
 		m.unanswered = r.Status == 0
 		if r.Status == 0 || r.Report.Machine != m.id {
 			return
@@ -348,20 +376,12 @@
 		l.apply(m, &r.Report)
 		if r.Status == http.StatusConflict && r.Report.Token <= l.token {
 			// Refused for an older token or session: what is still wanted goes again.
-			m.outbox = append(m.outbox, m.sorted()...)
+			m.outbox = append(m.outbox, m.list...)
+			l.hasToSend(m)
 		}
 	})
 }
 
-func (l *lead) machineOrder() []*machine {
-	ms := make([]*machine, 0, len(l.machines))
-	for _, m := range l.machines {
-		ms = append(ms, m)
-	}
-	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
-	return ms
-}
-
 // leaseEnd is when a machine's lease has run out for sure, by our clock.
 func (l *lead) leaseEnd(m *machine) time.Time {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS * (1 + 2*clockDrift))
@@ -372,13 +392,17 @@
 // raised token can settle.
 func (l *lead) prove() {
 	now := l.c.now
-	for _, m := range l.machineOrder() {
+	if now.Sub(l.provedAt) < proveEvery {
+		return // a walk over all machines, and nothing that it finds is that urgent
+	}
+	l.provedAt = now
+	for _, m := range l.fleetOrder {
 		if !m.leaseOut && now.After(l.leaseEnd(m)) {
 			m.leaseOut = true
 			if len(m.attempts) > 0 {
 				l.c.log(slog.LevelInfo, "machine lost", "machine", m.id, "tasks", len(m.attempts))
 			}
-			for _, a := range m.sorted() {
+			for _, a := range m.list {
 				l.gone(a, reduction.Reset, "lease ran out")
 			}
 		}
@@ -387,7 +411,7 @@
 				l.raiseToken("ended attempts to forget")
 			}
 		}
-		for _, a := range m.attempts {
+		for _, a := range m.list {
 			if a.stopping && !a.seen && now.Sub(a.stoppedAt) > bumpCancelled && a.token >= l.token {
 				l.raiseToken("stopped attempt in doubt")
 			}
@@ -397,7 +421,7 @@
 
 // drain moves what loses nothing, or can save, off a machine that will be taken.
 func (l *lead) drain(m *machine) {
-	for _, a := range m.sorted() {
+	for _, a := range m.list {
 		j := a.job.spec
 		if j.Kind == wire.KindService || j.CheckpointS > 0 {
 			l.stop(a, graceOf(&j))
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -11,13 +12,11 @@
 	"pumicefront/wire"
 )
 
-// returnSpare gives back machines that are not needed.
+// returnSpare gives back machines that are not needed, the dearest first.
 func (l *lead) returnSpare() {
-	for range returnMost {
-		m := l.spare()
-		if m == nil {
-			return
-		}
+	spare := l.spare()
+	slices.SortStableFunc(spare, func(a, b *machine) int { return cmp.Compare(l.price(b), l.price(a)) })
+	for _, m := range spare[:min(len(spare), max(returnMost, len(l.machines)/returnShare))] {
 		l.release(m, "idle")
 	}
 }
@@ -31,7 +30,7 @@
 	}
 	l.releaseLost()
 	var names []string
-	for _, m := range l.machineOrder() {
+	for _, m := range l.fleetOrder {
 		if m.releasing && len(names) < 100 {
 			names = append(names, m.id)
 		}
@@ -65,47 +64,38 @@
 		return
 	}
 	l.released[id] = l.c.now
-	for _, a := range m.sorted() {
+	for _, a := range m.list {
 		l.gone(a, reduction.Reset, "machine released")
 	}
 	delete(l.machines, id)
+	l.fleetOrder = slices.DeleteFunc(l.fleetOrder, func(o *machine) bool { return o == m })
 }
 
-// spare finds one idle machine whose room is not part of the headroom.
-func (l *lead) spare() *machine {
-	idle := config.Seconds(l.c.op.IdleS)
-	if len(l.c.types) == 0 {
-		return nil
-	}
-	var best *machine
-	for _, m := range l.machineOrder() {
+// spare lists idle machines that neither what waits nor the headroom has use for:
+// those that stay empty when all of it is placed, the fullest machines first.
+func (l *lead) spare() []*machine {
+	var idle []*machine
+	for _, m := range l.fleetOrder {
 		// A machine is charged for a minute at least: before that nothing is saved.
-		if l.c.now.Sub(m.since) < leastCharge || !m.up || len(m.attempts)+len(m.strays) > 0 || l.c.now.Sub(m.idle) < idle || m.releasing || l.silent(m) {
-			continue
-		}
-		if best == nil || l.price(m) > l.price(best) {
-			best = m
+		if m.up && !m.releasing && len(m.attempts)+len(m.strays) == 0 && l.c.now.Sub(m.since) >= leastCharge &&
+			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS) && !l.silent(m) {
+			idle = append(idle, m)
 		}
 	}
-	if best == nil {
+	if len(l.c.types) == 0 || len(idle) == 0 {
 		return nil
 	}
-	without := func(s *scheduler.Machine) bool { return s.ID == best.id }
-	if l.holds(slices.DeleteFunc(l.view(true, nil), without)) < l.holds(l.view(true, nil)) {
-		return nil
-	}
-	return best
-}
-
-// holds counts the tasks, waiting and of the headroom, that machines have room for.
-func (l *lead) holds(machines []*scheduler.Machine) int {
+	machines := l.view(true)
 	demands := append(l.backlog(), l.headroom()...)
 	scheduler.Order(demands)
-	n := 0
+	needed := map[string]bool{}
 	for _, d := range demands {
-		n += len(scheduler.Place(machines, d))
+		d.Loose = false
+		for _, p := range scheduler.Place(machines, d) {
+			needed[p.Machine.ID] = true
+		}
 	}
-	return n
+	return slices.DeleteFunc(idle, func(m *machine) bool { return needed[m.id] })
 }
 
 func (l *lead) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -18,6 +18,10 @@
 // roundPause gathers what happens close together into one round of placement.
 const roundPause = 5 * time.Millisecond
 
+// roundPerMachine is added to that: a round's cost grows with the machines, and
+// the processor is also there for the reports of all of them.
+const roundPerMachine = 40 * time.Microsecond
+
 // hintAllEvery is how often the other controllers are told of all machines: they
 // forget them when they end.
 const hintAllEvery = 10 * time.Second
@@ -25,8 +29,9 @@
 // wantPlacement asks for a round soon.
 func (l *lead) wantPlacement() {
 	if l.placeAt.IsZero() {
-		l.placeAt = l.c.now.Add(roundPause)
-		l.c.after(roundPause, func() {})
+		pause := roundPause + time.Duration(len(l.machines))*roundPerMachine
+		l.placeAt = l.c.now.Add(pause)
+		l.c.after(pause, func() {})
 	}
 }
 
@@ -37,13 +42,12 @@
 		return
 	}
 	l.placeAt = time.Time{}
-	borrowed := l.borrowed()
-	demands := l.demands(borrowed)
+	demands := l.demands()
 	if len(demands) == 0 {
 		return
 	}
 	scheduler.Order(demands)
-	machines := l.view(false, borrowed)
+	machines := l.view(false)
 	used := l.teamUse()
 	full := map[classKey]bool{}
 	for _, d := range demands {
@@ -111,9 +115,10 @@
 	return classKey{d.Class, d.Team, d.Zone, types, d.Each, d.Spot, d.Rank, d.Within}
 }
 
-// demands lists the frontiers of all jobs, given those beyond their guarantee.
-func (l *lead) demands(borrowed map[*job]bool) []*scheduler.Demand {
+// demands lists the frontiers of all jobs.
+func (l *lead) demands() []*scheduler.Demand {
 	var ds []*scheduler.Demand
+	borrowed := l.borrowed()
 	for _, j := range l.order {
 		if j.cancelled || j.state.Count(reduction.Pending) == 0 {
 			continue
@@ -248,46 +253,61 @@
 	return m.up && !m.releasing && !m.notice && !m.leaseOut && !l.silent(m)
 }
 
-// view makes the scheduler's picture of the machines; with booting, those that
-// are not up yet count too. Where nothing is preempted, borrowed may be nil.
-func (l *lead) view(booting bool, borrowed map[*job]bool) []*scheduler.Machine {
-	var ms []*scheduler.Machine
-	for _, m := range l.machineOrder() {
+// view gives the scheduler its picture of the machines; with booting, those that
+// are not up yet count too. The picture may be changed; it lasts until the next
+// view. Only machines that have changed since are drawn anew.
+func (l *lead) view(booting bool) []*scheduler.Machine {
+	l.borrowed()
+	if cap(l.scratch) < len(l.fleetOrder) {
+		l.scratch = make([]scheduler.Machine, 0, len(l.fleetOrder)+len(l.fleetOrder)/4)
+	}
+	l.scratch = l.scratch[:0]
+	ms := make([]*scheduler.Machine, 0, len(l.fleetOrder))
+	for _, m := range l.fleetOrder {
 		t, ok := l.c.types[m.typ]
 		if !ok || !l.usable(m) && !(booting && !m.up && !m.releasing && !l.overdue(m, t)) {
 			continue
 		}
-		s := &scheduler.Machine{
-			ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.part,
-			Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
-		}
-		if faulty(m) {
-			s.Penalty = 1
+		if m.picture == nil {
+			m.picture = l.draw(m, t)
 		}
-		for k := range m.strays {
-			id, _, _ := wire.SplitTask(k.task)
-			if j := l.jobs[id]; j != nil {
-				s.Free = s.Free.Add(jobEach(&j.spec), -1)
-			} else {
-				s.Free = scheduler.Resources{} // nobody knows what it takes
-			}
-		}
-		for _, a := range m.sorted() {
-			l.occupy(s, a, borrowed)
-		}
-		ms = append(ms, s)
+		l.scratch = append(l.scratch, *m.picture)
+		ms = append(ms, &l.scratch[len(l.scratch)-1])
 	}
 	return ms
 }
 
+// draw makes the scheduler's picture of one machine.
+func (l *lead) draw(m *machine, t wire.MachineType) *scheduler.Machine {
+	s := &scheduler.Machine{
+		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.part,
+		Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
+	}
+	if faulty(m) {
+		s.Penalty = 1
+	}
+	for k := range m.strays {
+		id, _, _ := wire.SplitTask(k.task)
+		if j := l.jobs[id]; j != nil {
+			s.Free = s.Free.Add(jobEach(&j.spec), -1)
+		} else {
+			s.Free = scheduler.Resources{} // nobody knows what it takes
+		}
+	}
+	for _, a := range m.list {
+		l.occupy(s, a)
+	}
+	return s
+}
+
 // overdue tells whether a booting machine is late, so that another should be
 // rented in its place: a few never come up, and waiting for proof takes long.
 func (l *lead) overdue(m *machine, t wire.MachineType) bool {
 	return l.c.now.Sub(m.since) > config.Seconds(t.BootS*1.6)+2*time.Second
 }
 
-func (l *lead) occupy(s *scheduler.Machine, a *attempt, borrowed map[*job]bool) {
-	each := jobEach(&a.job.spec)
+func (l *lead) occupy(s *scheduler.Machine, a *attempt) {
+	each := a.job.terms.Each
 	s.Free = s.Free.Add(each, -1)
 	if a.stopping {
 		s.Soon = s.Soon.Add(each, 1)
@@ -296,22 +316,23 @@
 	if !a.seen {
 		return // may be anywhere between here and there: not worth a stop
 	}
-	lost := 0.0
+	since := time.Time{}
 	if a.running {
-		lost = l.c.now.Sub(a.since).Seconds()
-		if c := a.job.spec.CheckpointS; c > 0 {
-			lost = math.Min(lost, c)
-		}
+		since = a.since
 	}
-	s.Tasks = append(s.Tasks, scheduler.Victim{
-		Job: a.job.id, Task: a.task, Team: a.job.spec.Team, Rank: slices.Index(wire.Priorities, a.job.spec.Priority),
-		Borrowed: borrowed[a.job], Demand: each, LostS: lost,
-	})
+	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since})
 }
 
+// sharesEvery is how often the guarantees are dealt out anew where no job has come.
+const sharesEvery = 250 * time.Millisecond
+
 // borrowed lists the jobs beyond their team's guarantee. Which of its jobs a team's
 // guarantee goes to follows the order in which they are served.
 func (l *lead) borrowed() map[*job]bool {
+	if l.c.now.Sub(l.sharesAt) < sharesEvery {
+		return l.shares
+	}
+	l.sharesAt = l.c.now
 	out := map[*job]bool{}
 	earlier := map[string]scheduler.Resources{}
 	type ranked struct {
@@ -329,10 +350,12 @@
 		return cmp.Or(cmp.Compare(a.late, b.late), cmp.Compare(a.work, b.work))
 	})
 	for _, r := range order {
-		if !l.within(r.job, earlier) {
+		r.job.terms.Borrowed = !l.within(r.job, earlier)
+		if r.job.terms.Borrowed {
 			out[r.job] = true
 		}
 	}
+	l.shares = out
 	return out
 }
 
@@ -363,9 +386,10 @@
 	m := l.machines[p.Machine.ID]
 	a := &attempt{job: j, task: p.Task, number: number, machine: m, session: m.session, placed: l.c.now}
 	j.attempts[p.Task] = a
-	m.attempts[a.key()] = a
+	m.force(a)
 	j.state.Start(p.Task)
 	j.touch(p.Task, l.c.now)
+	j.pressing = true
 	l.c.log(slog.LevelDebug, "placed", "job", j.id, "task", p.Task, "attempt", a.number, "machine", m.id,
 		"cached", m.images[j.spec.Image], "part", p.Machine.Part)
 }
@@ -376,18 +400,13 @@
 	if d.Rank > 0 && (!d.Within || d.AgeS < l.guaranteeAim()/2) {
 		return 0 // what is running may make room in time, and loses nothing
 	}
-	for n := range min(missing, 32) {
-		victims, ok := scheduler.Preempt(machines, d)
-		if !ok {
-			return n
-		}
-		for _, v := range victims {
-			a := l.jobs[v.Job].attempts[v.Task]
-			l.stop(a, graceOf(&a.job.spec))
-			l.c.log(slog.LevelInfo, "preempting", "job", v.Job, "task", v.Task, "machine", a.machine.id, "for", d.Job)
-		}
+	victims, room := scheduler.Preempt(machines, d, min(missing, 32), l.c.now)
+	for _, v := range victims {
+		a := l.jobs[v.Job].attempts[v.Task]
+		l.stop(a, graceOf(&a.job.spec))
+		l.c.log(slog.LevelInfo, "preempting", "job", v.Job, "task", v.Task, "machine", a.machine.id, "for", d.Job)
 	}
-	return min(missing, 32)
+	return room
 }
 
 // talk tells the other controllers the counts of tasks, for display.
@@ -427,7 +446,7 @@
 		l.hintedAt = l.c.now
 	}
 	var hs []*mesh.Hint
-	for _, m := range l.machineOrder() {
+	for _, m := range l.fleetOrder {
 		if !m.up || !all && len(m.images) == m.imagesTold {
 			continue
 		}
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -11,19 +11,26 @@
 func (l *lead) releaseLost() {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
 	cut := l.cutZones()
-	for _, m := range l.machineOrder() {
+	var elsewhere []*scheduler.Machine // drawn once: what moves off one machine takes room from the next
+	canMove := func(m *machine) bool {
+		if elsewhere == nil {
+			elsewhere = l.view(false)
+		}
+		return canMove(m, elsewhere)
+	}
+	for _, m := range l.fleetOrder {
 		silence := l.c.now.Sub(m.reported)
 		switch {
 		case m.releasing:
 		case !m.up:
 			if l.bootedTooLong(m) {
 				l.release(m, "never came up")
-			} else if l.unheard(m) && len(m.attempts) > 0 && l.canMove(m) {
+			} else if l.unheard(m) && len(m.attempts) > 0 && canMove(m) {
 				l.release(m, "silent since the election")
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case silence > 3*lease, silence > l.patience() && m.unanswered && !cut[m.zone] && !cut[""] && l.canMove(m):
+		case silence > 3*lease, silence > l.patience() && m.unanswered && !cut[m.zone] && !cut[""] && canMove(m):
 			l.release(m, "silent")
 		case l.late(m) && !m.calling:
 			l.command(m, nil) // it may only be its reports that don't arrive
@@ -90,9 +97,8 @@
 
 // canMove tells whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
-func (l *lead) canMove(m *machine) bool {
-	machines := l.view(false, nil)
-	for _, a := range m.sorted() {
+func canMove(m *machine, machines []*scheduler.Machine) bool {
+	for _, a := range m.list {
 		d := demandOf(&a.job.spec)
 		d.Tasks, d.RoomInTeam = []int{a.task}, 1
 		if d.Rank == 0 && len(scheduler.Place(machines, d)) == 0 {
@@ -122,12 +128,12 @@
 func (l *lead) doubtful() []*scheduler.Demand {
 	var ds []*scheduler.Demand
 	cut := l.cutZones()
-	for _, m := range l.machineOrder() {
+	for _, m := range l.fleetOrder {
 		suspected := l.c.now.Sub(m.reported) > l.patience() || cut[m.zone] && l.silent(m)
 		if !m.up || m.leaseOut || !suspected {
 			continue
 		}
-		for _, a := range m.sorted() {
+		for _, a := range m.list {
 			if d := demandOf(&a.job.spec); d.Service && !a.job.cancelled {
 				d.Tasks, d.RoomInTeam = []int{a.task}, 1
 				ds = append(ds, d)
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -17,15 +17,17 @@
 }
 
 // Fleet decides what to rent for demands that no machine, booting ones
-// included, has room for. The cheapest offer for each task that it can hold wins.
+// included, has room for, in up to most kinds of machine. The cheapest offer for
+// each task that it can hold wins.
 func Fleet(machines []*Machine, demands []*Demand, offers []Offer, most int) []Want {
 	var wants []Want
+	kinds := map[Offer]bool{}
 	Order(demands)
 	for _, d := range demands {
 		left := min(len(d.Tasks), d.RoomInTeam) - len(Place(machines, d))
-		for left > 0 && len(wants) < most {
+		for left > 0 {
 			best := cheapest(offers, d, left)
-			if best == nil {
+			if best == nil || !kinds[*best] && len(kinds) == most {
 				break
 			}
 			m := &Machine{ID: "wanted", Type: best.Type, Zone: best.Zone, Spot: best.Spot, Cap: best.Cap, Free: best.Cap, Virtual: true}
@@ -35,6 +37,7 @@
 				left--
 			}
 			machines = append(machines, m)
+			kinds[*best] = true
 			wants = append(wants, Want{*best, 1})
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -5,10 +5,13 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
+	"time"
 )
 
 // Resources are amounts of a machine.
@@ -45,15 +48,32 @@
 	Tasks          []Victim
 }
 
+// Terms are what a job's tasks have in common when something must give way.
+type Terms struct {
+	Job, Team   string
+	Rank        int  // index of its priority, 0 is the highest
+	Borrowed    bool // beyond its team's guarantee
+	Each        Resources
+	CheckpointS float64
+}
+
 // Victim is a task that could be preempted.
 type Victim struct {
-	Job      string
-	Task     int
-	Team     string
-	Rank     int  // index of its priority, 0 is the highest
-	Borrowed bool // beyond its team's guarantee
-	Demand   Resources
-	LostS    float64 // work that stopping it loses
+	*Terms
+	Task  int
+	Since time.Time // running since; zero: not running
+}
+
+// lost is the work, in seconds, that stopping the task now loses.
+func (v *Victim) lost(now time.Time) float64 {
+	if v.Since.IsZero() {
+		return 0
+	}
+	s := now.Sub(v.Since).Seconds()
+	if v.CheckpointS > 0 {
+		s = math.Min(s, v.CheckpointS)
+	}
+	return s
 }
 
 // Demand is what one job wants placed; its tasks are alike.
@@ -180,14 +200,28 @@
 	return out
 }
 
+// candidate is a machine that a demand may take, with what decides how well it
+// would do.
+type candidate struct {
+	*Machine
+	uncached, ordinary, crowded int
+}
+
+func (d *Demand) candidate(m *Machine) candidate {
+	c := candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), 0}
+	if d.Loose {
+		c.crowded = d.crowds(m)
+	}
+	return c
+}
+
 // prefer orders machines for one task. Alike otherwise, the fullest comes first,
 // so that empty ones can be returned; or, for a loose demand, the one where it
 // costs other classes least room, and of those the emptiest.
-func (d *Demand) prefer(a, b *Machine) int {
-	c := cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(flag(!a.Images[d.Image]), flag(!b.Images[d.Image])),
-		cmp.Compare(flag(d.Spot && !a.Spot), flag(d.Spot && !b.Spot)))
+func (d *Demand) prefer(a, b candidate) int {
+	c := cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary))
 	if d.Loose {
-		return cmp.Or(c, cmp.Compare(d.crowds(a), d.crowds(b)), cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(c, cmp.Compare(a.crowded, b.crowded), cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
 	}
 	return cmp.Or(c, cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID))
 }
@@ -207,22 +241,43 @@
 	return n
 }
 
-// fill takes room task by task, each time on the machine preferred then.
+// ranking is a heap of candidates, the preferred one on top.
+type ranking struct {
+	d  *Demand
+	cs []candidate
+}
+
+func (r *ranking) Len() int           { return len(r.cs) }
+func (r *ranking) Less(i, j int) bool { return r.d.prefer(r.cs[i], r.cs[j]) < 0 }
+func (r *ranking) Swap(i, j int)      { r.cs[i], r.cs[j] = r.cs[j], r.cs[i] }
+func (r *ranking) Push(x any)         { r.cs = append(r.cs, x.(candidate)) }
+func (r *ranking) Pop() any {
+	last := len(r.cs) - 1
+	c := r.cs[last]
+	r.cs = r.cs[:last]
+	return c
+}
+
+// fill takes room task by task, each time on the machine preferred then. Taking
+// room changes the place of that machine alone.
 func fill(eligible []*Machine, d *Demand, want int) []Assignment {
+	r := &ranking{d: d, cs: make([]candidate, 0, len(eligible))}
+	for _, m := range eligible {
+		r.cs = append(r.cs, d.candidate(m))
+	}
+	heap.Init(r)
 	var out []Assignment
-	for len(out) < want {
-		var best *Machine
-		for _, m := range eligible {
-			if d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 && (best == nil || d.prefer(m, best) < 0) {
-				best = m
-			}
-		}
-		if best == nil {
-			break
+	for len(out) < want && len(r.cs) > 0 {
+		m := r.cs[0].Machine
+		if d.zoneRoom(m.Zone) <= 0 || m.Free.Fits(d.Each) == 0 {
+			heap.Pop(r)
+			continue
 		}
-		best.Free = best.Free.Add(d.Each, -1)
-		d.InZone[best.Zone]++
-		out = append(out, Assignment{d.Tasks[len(out)], best})
+		m.Free = m.Free.Add(d.Each, -1)
+		d.InZone[m.Zone]++
+		out = append(out, Assignment{d.Tasks[len(out)], m})
+		r.cs[0] = d.candidate(m)
+		heap.Fix(r, 0)
 	}
 	return out
 }
@@ -279,46 +334,74 @@
 	return best
 }
 
-// Preempt picks tasks to stop so that one task of d fits on a machine: none where
-// room is becoming free already, and not ok where no allowed choice makes room.
-func Preempt(machines []*Machine, d *Demand) (victims []Victim, ok bool) {
-	var best *Machine
-	least := math.Inf(1)
+// yield is what a machine would have to stop to take one task.
+type yield struct {
+	m       *Machine
+	victims []Victim
+	loss    float64
+}
+
+// Preempt picks tasks to stop so that up to missing tasks of d fit, and counts
+// those that get room: by it, or because it is becoming free already.
+func Preempt(machines []*Machine, d *Demand, missing int, now time.Time) (victims []Victim, room int) {
+	var yields []yield
+	consider := func(m *Machine) {
+		if vs, loss := choose(m, d, m.Free.Add(m.Soon, 1), now); vs != nil {
+			yields = append(yields, yield{m, vs, loss})
+		}
+	}
+	inZone := maps.Clone(d.InZone)
+	defer func() { d.InZone = inZone }() // none of these is placed yet
 	for _, m := range machines {
-		if m.Virtual || !d.takes(m) || d.zoneRoom(m.Zone) <= 0 {
+		if m.Virtual || !d.takes(m) {
 			continue
 		}
-		free := m.Free.Add(m.Soon, 1)
-		if free.Fits(d.Each) > 0 { // room is on its way: keep it for this task
+		// Room that is on its way is kept for these tasks.
+		for room < missing && d.zoneRoom(m.Zone) > 0 && m.Free.Add(m.Soon, 1).Fits(d.Each) > 0 {
 			m.Soon = m.Soon.Add(d.Each, -1)
-			return nil, true
-		}
-		chosen, loss := choose(m, d, free)
-		if chosen != nil && loss < least {
-			best, victims, least = m, chosen, loss
+			d.InZone[m.Zone]++
+			room++
 		}
+		consider(m)
 	}
-	if best != nil {
-		take(best, victims, d)
+	for room < missing {
+		best := -1
+		for i, y := range yields {
+			if d.zoneRoom(y.m.Zone) > 0 && (best < 0 || y.loss < yields[best].loss) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		y := yields[best]
+		yields = slices.Delete(yields, best, best+1)
+		take(y.m, y.victims, d)
+		d.InZone[y.m.Zone]++
+		victims = append(victims, y.victims...)
+		room++
+		consider(y.m)
 	}
-	return victims, best != nil
+	return victims, room
 }
 
-func choose(m *Machine, d *Demand, free Resources) ([]Victim, float64) {
-	vs := slices.Clone(m.Tasks)
+// choose picks what a machine stops first: of those that d may stop, the lowest
+// priority, then the least work lost.
+func choose(m *Machine, d *Demand, free Resources, now time.Time) ([]Victim, float64) {
+	var vs []Victim
+	for _, v := range m.Tasks {
+		if v.Rank > d.Rank || d.Within && v.Borrowed && v.Team != d.Team {
+			vs = append(vs, v)
+		}
+	}
 	slices.SortFunc(vs, func(a, b Victim) int {
-		return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(a.LostS, b.LostS), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+		return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(a.lost(now), b.lost(now)), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
 	})
-	var chosen []Victim
 	loss := 0.0
-	for _, v := range vs {
-		if v.Rank <= d.Rank && !(d.Within && v.Borrowed && v.Team != d.Team) {
-			continue
-		}
-		chosen = append(chosen, v)
-		loss += v.LostS + 1
-		if free = free.Add(v.Demand, 1); free.Fits(d.Each) > 0 {
-			return chosen, loss
+	for i, v := range vs {
+		loss += v.lost(now) + 1
+		if free = free.Add(v.Each, 1); free.Fits(d.Each) > 0 {
+			return vs[:i+1], loss
 		}
 	}
 	return nil, 0
@@ -326,9 +409,15 @@
 
 // take moves the victims' room to what is soon free, less what d will use.
 func take(m *Machine, victims []Victim, d *Demand) {
+	left := make([]Victim, 0, len(m.Tasks))
+	for _, t := range m.Tasks {
+		if !slices.Contains(victims, t) {
+			left = append(left, t)
+		}
+	}
+	m.Tasks = left // a new list: the old one is the leader's
 	for _, v := range victims {
-		m.Soon = m.Soon.Add(v.Demand, 1)
-		m.Tasks = slices.DeleteFunc(m.Tasks, func(t Victim) bool { return t.Job == v.Job && t.Task == v.Task })
+		m.Soon = m.Soon.Add(v.Each, 1)
 	}
 	m.Soon = m.Soon.Add(d.Each, -1)
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -121,39 +122,39 @@
 }
 
 func TestPreempt(t *testing.T) {
-	full := func(v Victim) []*Machine {
+	full := func(terms Terms) []*Machine {
 		ms := machines(1, "x", 4)
 		ms[0].Free = Resources{}
-		v.Demand = Resources{CPUs: 4, MemoryGB: 4}
-		ms[0].Tasks = []Victim{v}
+		terms.Each = Resources{CPUs: 4, MemoryGB: 4}
+		ms[0].Tasks = []Victim{{Terms: &terms}}
 		return ms
 	}
 	d := demand(1, 2)
 	d.Rank, d.Team = 2, "red"
 	for name, c := range map[string]struct {
-		victim Victim
+		victim Terms
 		within bool
 		want   bool
 	}{
-		"lower priority":            {Victim{Rank: 3, Team: "red"}, false, true},
-		"same priority":             {Victim{Rank: 2, Team: "blue"}, true, false},
-		"borrowed, for a guarantee": {Victim{Rank: 2, Team: "blue", Borrowed: true}, true, true},
-		"borrowed, for borrowed":    {Victim{Rank: 2, Team: "blue", Borrowed: true}, false, false},
-		"borrowed by the same team": {Victim{Rank: 2, Team: "red", Borrowed: true}, true, false},
-		"higher priority, borrowed": {Victim{Rank: 0, Team: "blue", Borrowed: true}, true, true},
-		"higher priority, its own":  {Victim{Rank: 0, Team: "blue"}, true, false},
+		"lower priority":            {Terms{Rank: 3, Team: "red"}, false, true},
+		"same priority":             {Terms{Rank: 2, Team: "blue"}, true, false},
+		"borrowed, for a guarantee": {Terms{Rank: 2, Team: "blue", Borrowed: true}, true, true},
+		"borrowed, for borrowed":    {Terms{Rank: 2, Team: "blue", Borrowed: true}, false, false},
+		"borrowed by the same team": {Terms{Rank: 2, Team: "red", Borrowed: true}, true, false},
+		"higher priority, borrowed": {Terms{Rank: 0, Team: "blue", Borrowed: true}, true, true},
+		"higher priority, its own":  {Terms{Rank: 0, Team: "blue"}, true, false},
 	} {
 		d.Within = c.within
-		vs, ok := Preempt(full(c.victim), d)
-		if ok != c.want || len(vs) > 0 != c.want {
-			t.Errorf("%s: %v %v", name, vs, ok)
+		vs, room := Preempt(full(c.victim), d, 1, time.Time{})
+		if room == 1 != c.want || len(vs) > 0 != c.want {
+			t.Errorf("%s: %v %v", name, vs, room)
 		}
 	}
 	// Room that is becoming free is kept for one task and stops nothing more.
-	ms := full(Victim{Rank: 3})
+	ms := full(Terms{Rank: 3})
 	ms[0].Soon = Resources{CPUs: 2, MemoryGB: 2}
-	if vs, ok := Preempt(ms, d); vs != nil || !ok || ms[0].Soon.CPUs != 0 {
-		t.Errorf("stopped %v, ok %v, soon %v", vs, ok, ms[0].Soon)
+	if vs, room := Preempt(ms, d, 1, time.Time{}); vs != nil || room != 1 || ms[0].Soon.CPUs != 0 {
+		t.Errorf("stopped %v, room for %v, soon %v", vs, room, ms[0].Soon)
 	}
 }
 
