--- a/controller/control.go
+++ b/controller/control.go
@@ -18,9 +18,10 @@
 	token           uint64
 	headers         map[string]*headerRecord
 
-	syncing  bool
-	lastSync time.Time
-	waiting  []func(ok bool)
+	syncing   bool
+	unreached bool // the last sync failed; it is tried again until one succeeds
+	lastSync  time.Time
+	waiting   []func(ok bool)
 }
 
 func (k *control) init() {
@@ -52,7 +53,7 @@
 			c.applyControl(wire.Event{Put: it.Key, Value: it.Value, Version: it.Version})
 		}
 		c.control.revision = max(c.control.revision, revision)
-		c.control.loaded, c.control.loading = true, false
+		c.control.loaded, c.control.loading, c.control.unreached = true, false, false
 		c.follow()
 	})
 }
@@ -102,7 +103,17 @@
 
 // sync calls fn once the copy holds everything that was written before sync was
 // called. Requests that arrive meanwhile share one read.
+// While the state service is not reached, the answer is known without waiting.
 func (c *Core) sync(fn func(ok bool)) {
+	if c.control.unreached {
+		fn(false)
+		return
+	}
+	c.reach(fn)
+}
+
+// reach is sync that always tries.
+func (c *Core) reach(fn func(ok bool)) {
 	if !c.control.loaded || len(c.control.waiting) >= maxWaiting {
 		fn(false)
 		return
@@ -124,6 +135,7 @@
 	call := StateCall{Op: OpWatch, Key: controlPrefix, Revision: c.control.revision, Timeout: userCallTimeout}
 	c.state(call, func(r StateReply) {
 		ok := r.Status == http.StatusOK
+		c.control.unreached = r.Status == 0 || r.Status == http.StatusServiceUnavailable
 		if ok {
 			c.applyWatch(r.Watch)
 			c.control.lastSync = c.now
@@ -135,11 +147,14 @@
 		for _, fn := range served {
 			fn(ok)
 		}
-		if len(c.control.waiting) == 0 {
-			c.control.syncing = false
+		if len(c.control.waiting) > 0 {
+			c.startSync()
 			return
 		}
-		c.startSync()
+		c.control.syncing = false
+		if c.control.unreached {
+			c.after(retryPause, func() { c.reach(func(bool) {}) })
+		}
 	})
 }
 
--- a/controller/core.go
+++ b/controller/core.go
@@ -81,6 +81,9 @@
 		types:       map[string]wire.MachineType{},
 		progress:    map[string]jobCount{},
 		hints:       map[string]*mesh.Hint{},
+		// An answer that an earlier process of this controller asked for over the mesh
+		// must not be taken for one to us: a worker would get another one's commands.
+		next: rng.Uint64() >> 2,
 	}
 	c.final.init()
 	c.control.init()
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -35,6 +35,7 @@
 	holdUntil time.Time
 	over      bool // the final record is written
 	terms     *scheduler.Terms
+	begun     bool // a task has run, ever
 	hurt      bool // has lost an attempt to a failure, or gave way: goes on first
 }
 
@@ -122,11 +123,6 @@
 	l.recovered = true
 	c.log(slog.LevelInfo, "recovered", "token", l.token, "jobs", len(l.jobs), "machines", len(l.machines),
 		"after", c.now.Sub(l.elected))
-	for _, id := range slices.Sorted(maps.Keys(l.unknown)) {
-		r := l.unknown[id]
-		l.apply(l.machine(id), &r)
-	}
-	clear(l.unknown)
 	for _, id := range slices.Sorted(maps.Keys(c.hints)) {
 		if m := l.machines[id]; (m == nil || !m.up) && c.hints[id].Addr != "" {
 			l.seek(id, c.hints[id].Addr)
@@ -140,6 +136,7 @@
 	for _, r := range rec.Done {
 		for t := r[0]; t <= r[1] && t < j.spec.Tasks; t++ {
 			j.state.Accumulate(t, reduction.Succeeded)
+			j.begun = true
 		}
 	}
 	for _, p := range rec.Placed {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -16,6 +16,7 @@
 type lead struct {
 	c         *Core
 	token     uint64
+	first     uint64 // the token of our election
 	version   uint64 // of the leader key: the condition of every write
 	lease     uint64
 	elected   time.Time
@@ -39,7 +40,8 @@
 	placeAt    time.Time // when the next round of placement is due; zero: none
 	bumpedAt   time.Time
 	bumping    bool
-	unknown    map[string]wire.Report // reports that came before the records were read
+	sought     map[string]time.Time // machines asked for a report, and when
+	cut        map[string]bool      // see cutZones
 
 	fleet    fleet
 	talkedAt time.Time
@@ -131,10 +133,10 @@
 func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
 	st := c.cfg.Facts.State
 	l := &lead{
-		c: c, token: token, version: version, lease: lease, elected: c.now,
+		c: c, token: token, first: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
-		writes:  rate.NewLimiter(rate.Limit(st.WriteRPS*0.6), max(2, int(st.WriteRPS*0.4))),
-		unknown: map[string]wire.Report{}, told: map[string]jobCount{}, bumpedAt: c.now,
+		writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.6), max(2, int(st.WriteRPS*0.4))),
+		sought: map[string]time.Time{}, told: map[string]jobCount{}, bumpedAt: c.now,
 	}
 	l.fleet.init()
 	c.lead = l
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pumicefront/config"
+	"pumicefront/mesh"
 	"pumicefront/reduction"
 	"pumicefront/scheduler"
 	"pumicefront/wire"
@@ -39,7 +40,9 @@
 	notice              bool
 	releasing           bool
 	leaseOut            bool
-	unanswered          bool // the last command got no answer, and no report came since
+	unanswered          bool      // the last command got no answer, and no report came since
+	missed              time.Time // when the first of the commands was sent that got no answer; zero: the last got one
+	probeAt             time.Time // when it is worth asking again
 
 	attempts   map[taskKey]*attempt
 	list       []*attempt         // the same in order; never changed in place, so that it can be walked meanwhile
@@ -99,6 +102,10 @@
 // worker may take seconds to find a new leader by itself. Any session will do, a
 // refusal carries the report too.
 func (l *lead) seek(id, addr string) {
+	if at, ok := l.sought[id]; ok && l.c.now.Sub(at) < leadCallTimeout {
+		return
+	}
+	l.sought[id] = l.c.now
 	body := wire.Commands{Token: l.token}
 	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body, Timeout: leadCallTimeout}, func(r WorkerReply) {
 		_, gone := l.released[id]
@@ -128,12 +135,22 @@
 	}
 	// The answer renews the lease: this is counted before the answer goes out.
 	m.answered, m.leaseOut = c.now, false
-	if !l.recovered {
-		l.unknown[rep.Machine] = rep
+	switch {
+	case !l.recovered: // the machine will be asked once the records are read
+		if rep.Addr != "" && c.hints[m.id] == nil {
+			c.hints[m.id] = &mesh.Hint{Machine: m.id, Addr: rep.Addr}
+		}
+	case !m.up && rep.Token < l.first:
+		// Made before our election: it may be a late copy, from a machine that is
+		// gone. The machine itself has to answer, or to report with our token.
+		l.seek(m.id, rep.Addr)
+	default:
+		l.apply(m, &rep)
+	}
+	if !m.up {
 		c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token})
 		return
 	}
-	l.apply(m, &rep)
 	c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token, Commands: l.commands(m)})
 }
 
@@ -216,7 +233,7 @@
 	a.seen = true
 	a.job.state.Start(a.task)
 	if state == wire.TaskRunning && !a.running {
-		a.running, a.since = true, l.c.now
+		a.running, a.since, a.job.begun = true, l.c.now, true
 		a.machine.images[a.job.spec.Image] = true
 		l.c.log(slog.LevelDebug, "task running", "job", a.job.id, "task", a.task, "attempt", a.number,
 			"machine", a.machine.id, "after", l.c.now.Sub(a.placed))
@@ -228,6 +245,7 @@
 	j, m := a.job, a.machine
 	switch {
 	case why == wire.WhyDone && j.spec.Kind != wire.KindService:
+		j.begun = true
 		m.images[j.spec.Image] = true
 		clear(m.faults)
 		delete(j.fails, a.task)
@@ -363,6 +381,7 @@
 		timeout = probeTimeout
 	}
 	body := wire.Commands{Token: l.token, Session: m.session, Commands: cs}
+	sent, session, seq := l.c.now, m.session, m.seq
 	l.c.worker(WorkerCall{Machine: m.id, Addr: m.addr, Commands: body, Timeout: timeout}, func(r WorkerReply) {
 		if l.c.lead != l || l.machines[m.id] != m {
 			return
@@ -371,8 +390,13 @@
 		l.hasToSend(m)
 		m.unanswered = r.Status == 0
 		if r.Status == 0 || r.Report.Machine != m.id {
+			l.noAnswer(m, sent)
 			return
 		}
+		m.missed, m.probeAt = time.Time{}, time.Time{}
+		if !r.Report.Newer(session, seq) {
+			l.restarted(m)
+		}
 		l.apply(m, &r.Report)
 		if r.Status == http.StatusConflict && r.Report.Token <= l.token {
 			// Refused for an older token or session: what is still wanted goes again.
@@ -382,6 +406,26 @@
 	})
 }
 
+// noAnswer notes that a command to a machine got no answer. Its reports may go on
+// arriving while it hears nothing: they say no more than that it can send.
+func (l *lead) noAnswer(m *machine, sent time.Time) {
+	if m.missed.IsZero() {
+		m.missed = sent
+	}
+	pause := min(max(l.c.now.Sub(m.missed)/4, tickEvery), leadCallTimeout)
+	m.probeAt = l.c.now.Add(pause)
+}
+
+// restarted takes in that a machine's own answer is older than what it had said
+// before it was asked: it has begun again, with nothing on it. Copies of runs
+// that match its stint may still be on their way, so nothing is gone yet; a
+// raised token fences them.
+func (l *lead) restarted(m *machine) {
+	l.c.log(slog.LevelInfo, "machine has begun again", "machine", m.id)
+	m.session, m.seq, m.token = 0, 0, 0
+	l.raiseToken("machine has begun again")
+}
+
 // leaseEnd is when a machine's lease has run out for sure, by our clock.
 func (l *lead) leaseEnd(m *machine) time.Time {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS * (1 + 2*clockDrift))
@@ -396,6 +440,7 @@
 		return // a walk over all machines, and nothing that it finds is that urgent
 	}
 	l.provedAt = now
+	l.cut = l.cutZones()
 	for _, m := range l.fleetOrder {
 		if !m.leaseOut && now.After(l.leaseEnd(m)) {
 			m.leaseOut = true
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -85,7 +85,7 @@
 		answer(false)
 		return
 	}
-	c.sync(func(reached bool) {
+	c.reach(func(reached bool) {
 		if reached || !free() {
 			answer(false)
 			return
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -46,8 +46,8 @@
 	if len(demands) == 0 {
 		return
 	}
-	scheduler.Order(demands)
 	machines := l.view(false)
+	demands = scheduler.Turns(demands, l.reserve(machines))
 	used := l.teamUse()
 	full := map[classKey]bool{}
 	for _, d := range demands {
@@ -67,6 +67,9 @@
 			// No machine takes one more of these: that is decided for the class.
 			full[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
 			l.preempt(machines, d, want-placed)
+			if d.Waited && placed == 0 {
+				scheduler.Hold(machines, d)
+			}
 		}
 	}
 }
@@ -141,6 +144,7 @@
 		}
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
+		d.Begun, d.Waited = j.begun, l.waited(j, d)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
@@ -149,6 +153,46 @@
 	return ds
 }
 
+// Waiting wins over every other order after these ages. The largest jobs must
+// begin within four minutes, and smaller ones never stop coming.
+const (
+	beginAfter = 80 * time.Second  // nothing of the job has run
+	serveAfter = 120 * time.Second // no aim on finishing is left that it could meet
+)
+
+// reserveShare is the part of all cores that may be taken by what has waited.
+const reserveShare = 1.0 / 8
+
+func (l *lead) waited(j *job, d *scheduler.Demand) bool {
+	age := l.c.now.Sub(j.accepted)
+	return !j.begun && age > beginAfter || age > serveAfter && d.Late >= l.finishAims(j)
+}
+
+// reserve is what is left of the cores kept for work that has waited.
+func (l *lead) reserve(machines []*scheduler.Machine) float64 {
+	cores := 0.0
+	for _, m := range machines {
+		cores += m.Cap.CPUs * reserveShare
+	}
+	for _, j := range l.order {
+		if l.c.now.Sub(j.accepted) > serveAfter && j.spec.Kind != wire.KindService {
+			cores -= float64(len(j.attempts)) * j.spec.CPUs
+		}
+	}
+	return max(cores, 0)
+}
+
+// finishAims counts the aims on finishing that there are for a job.
+func (l *lead) finishAims(j *job) int {
+	n := 0
+	for _, o := range l.c.cfg.Facts.Objectives {
+		if o.Kind == "finished" && o.Class == j.spec.Class {
+			n++
+		}
+	}
+	return n
+}
+
 // missed counts the aims on finishing that a job can't meet any more. One that has
 // waited out several times the last of them, or has lost work to a failure, is
 // not passed over.
@@ -250,7 +294,9 @@
 
 // usable tells whether a machine may be given new work.
 func (l *lead) usable(m *machine) bool {
-	return m.up && !m.releasing && !m.notice && !m.leaseOut && !l.silent(m)
+	// Where commands to many get no answer, the fault is ours, and reports carry them.
+	hears := m.missed.IsZero() || l.cut[""]
+	return m.up && !m.releasing && !m.notice && !m.leaseOut && !l.silent(m) && hears
 }
 
 // view gives the scheduler its picture of the machines; with booting, those that
@@ -431,7 +477,7 @@
 		}
 	}
 	hints := l.hints()
-	deaf := l.cutZones()[""]
+	deaf := l.cut[""]
 	if len(jobs)+len(hints) > 0 || deaf {
 		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Hints: hints, Deaf: deaf}}})
 	}
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -10,7 +10,7 @@
 // releaseLost decides between waiting a lease out and releasing the machine.
 func (l *lead) releaseLost() {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
-	cut := l.cutZones()
+	cut := l.cut
 	var elsewhere []*scheduler.Machine // drawn once: what moves off one machine takes room from the next
 	canMove := func(m *machine) bool {
 		if elsewhere == nil {
@@ -30,10 +30,10 @@
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case silence > 3*lease, silence > l.patience() && m.unanswered && !cut[m.zone] && !cut[""] && canMove(m):
+		case silence > 3*lease, (silence > l.patience() && m.unanswered || l.deafFor(m) > l.patience()) && !cut[m.zone] && !cut[""] && canMove(m):
 			l.release(m, "silent")
-		case l.late(m) && !m.calling:
-			l.command(m, nil) // it may only be its reports that don't arrive
+		case (l.late(m) || !m.missed.IsZero()) && !m.calling && !l.c.now.Before(m.probeAt):
+			l.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
 		}
 	}
 }
@@ -54,6 +54,14 @@
 	return l.c.now.Sub(m.reported) > l.reportDue(time.Second)
 }
 
+// deafFor is how long a machine has not answered commands, whatever it reports.
+func (l *lead) deafFor(m *machine) time.Duration {
+	if m.missed.IsZero() {
+		return 0
+	}
+	return l.c.now.Sub(m.missed)
+}
+
 // cutZones lists the zones of which most machines are silent, and "" where a
 // quarter of all is: that speaks for a fault on the way to us, not on the
 // machines. They are left their leases, and come back with what they ran.
@@ -65,7 +73,7 @@
 		}
 		all[m.zone]++
 		all[""]++
-		if l.late(m) {
+		if l.late(m) || !m.missed.IsZero() {
 			silent[m.zone]++
 			silent[""]++
 		}
@@ -127,9 +135,8 @@
 // take them over boot while the proof that they are gone is waited for.
 func (l *lead) doubtful() []*scheduler.Demand {
 	var ds []*scheduler.Demand
-	cut := l.cutZones()
 	for _, m := range l.fleetOrder {
-		suspected := l.c.now.Sub(m.reported) > l.patience() || cut[m.zone] && l.silent(m)
+		suspected := max(l.c.now.Sub(m.reported), l.deafFor(m)) > l.patience() || l.cut[m.zone] && l.silent(m)
 		if !m.up || m.leaseOut || !suspected {
 			continue
 		}
--- a/controller/users.go
+++ b/controller/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"pumicefront/scheduler"
 	"pumicefront/wire"
@@ -12,11 +13,35 @@
 type finals struct {
 	jobs  map[string]finalRecord
 	order []string
+	asks  map[string][]*finalAsk // questions whose read has not been sent yet
+	queue []string               // their jobs, first come first served
+	later bool                   // a timer goes on with the queue
 }
 
+// finalAsk is a question that waits for its turn to read a final record.
+type finalAsk struct {
+	fn   func(known)
+	told bool
+}
+
+func (a *finalAsk) tell(k known) {
+	if !a.told {
+		a.told = true
+		a.fn(k)
+	}
+}
+
+const (
+	maxFinalAsks  = 512
+	finalPatience = time.Second // users wait for two
+)
+
 const maxFinals = 4096
 
-func (f *finals) init() { f.jobs = map[string]finalRecord{} }
+func (f *finals) init() {
+	f.jobs = map[string]finalRecord{}
+	f.asks = map[string][]*finalAsk{}
+}
 
 func (f *finals) add(job string, r finalRecord) {
 	if _, ok := f.jobs[job]; ok {
@@ -88,23 +113,56 @@
 
 // lookupFinal is asked after the header was seen to be missing: a job moves from
 // its header to its final record in one transaction.
+//
+// Reads go first come first served, and one whose user has stopped waiting is
+// still made: where there are more questions than reads, refusing at random
+// could refuse the same job every time, and it would count as forgotten.
 func (c *Core) lookupFinal(job string, fn func(known)) {
-	if !c.reads.AllowN(c.now, 1) {
-		fn(knownUnsure)
-		return
-	}
-	c.state(StateCall{Op: OpGet, Key: finalKey(job), Timeout: userCallTimeout}, func(r StateReply) {
-		f := decode[finalRecord](r.Item.Value)
-		switch {
-		case r.Status == http.StatusOK && f != nil:
-			c.final.add(job, *f)
-			fn(knownFinal)
-		case r.Status == http.StatusNotFound:
-			fn(knownNot)
-		default:
+	f := &c.final
+	if len(f.asks[job]) == 0 {
+		if len(f.queue) >= maxFinalAsks {
 			fn(knownUnsure)
+			return
 		}
-	})
+		f.queue = append(f.queue, job)
+	}
+	ask := &finalAsk{fn: fn}
+	f.asks[job] = append(f.asks[job], ask)
+	c.after(finalPatience, func() { ask.tell(knownUnsure) })
+	c.readFinals()
+}
+
+// readFinals sends the reads that are due, as fast as the budget allows. What is
+// asked after a read was sent needs another: it may have been too early.
+func (c *Core) readFinals() {
+	f := &c.final
+	for len(f.queue) > 0 && c.reads.AllowN(c.now, 1) {
+		job := f.queue[0]
+		f.queue = f.queue[1:]
+		asks := f.asks[job]
+		delete(f.asks, job)
+		c.state(StateCall{Op: OpGet, Key: finalKey(job), Timeout: userCallTimeout}, func(r StateReply) {
+			rec := decode[finalRecord](r.Item.Value)
+			k := knownUnsure
+			switch {
+			case r.Status == http.StatusOK && rec != nil:
+				f.add(job, *rec)
+				k = knownFinal
+			case r.Status == http.StatusNotFound:
+				k = knownNot
+			}
+			for _, a := range asks {
+				a.tell(k)
+			}
+		})
+	}
+	if len(f.queue) > 0 && !f.later {
+		f.later = true
+		c.after(10*time.Millisecond, func() {
+			f.later = false
+			c.readFinals()
+		})
+	}
 }
 
 // tell answers with the job's state, or with unknown where nobody submitted it.
@@ -148,6 +206,10 @@
 func (c *Core) submit(r UserRequest) {
 	job, id, err := wire.ParseJob(r.Body)
 	r.Job = id
+	if _, over := c.final.jobs[id]; over || c.control.headers[id] != nil {
+		c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+		return // a repeat takes no share of the writes
+	}
 	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: perChunk(c.cfg.Facts.State.ValueKB)}
 	raw := wire.Marshal(h)
 	tooBig := float64(len(raw)) > c.cfg.Facts.State.ValueKB*1024*0.75
@@ -163,7 +225,11 @@
 		c.lookup(id, func(k known) { c.tell(r, k, http.StatusUnprocessableEntity) })
 		return
 	}
-	if !c.control.loaded || !c.writes.AllowN(c.now, 1) {
+	if !c.control.loaded || c.control.unreached {
+		c.later(r.Req, "state service not reached")
+		return
+	}
+	if !c.writes.AllowN(c.now, 1) {
 		c.later(r.Req, "too many submissions")
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -95,6 +95,8 @@
 	Others           []Resources    // what tasks of other classes take
 	Within           bool           // within its team's guarantee
 	AgeS             float64        // since submission
+	Begun            bool           // a task has run
+	Waited           bool           // for so long that waiting wins, see Turns
 	Late             int            // aims on finishing that it can't meet any more
 	WorkS            float64        // what is left of it, in core seconds
 	InZone           map[string]int // tasks in force by zone
@@ -136,14 +138,81 @@
 // Order sorts demands: services and prod first, then work within its team's
 // guarantee, then by priority. When more is asked than can be done, the oldest
 // first would make every job late: so those come first that can still meet their
-// class's aims, and of them the least work.
+// class's aims, and of them the least work. What has waited its turn comes before
+// the others, the oldest first.
 func Order(ds []*Demand) {
 	slices.SortStableFunc(ds, func(a, b *Demand) int {
-		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(flag(!a.Within), flag(!b.Within)),
+		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(b.turn(), a.turn()), cmp.Compare(flag(!a.Within), flag(!b.Within)),
 			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Late, b.Late), cmp.Compare(a.WorkS, b.WorkS), cmp.Compare(b.AgeS, a.AgeS), cmp.Compare(a.Job, b.Job))
 	})
 }
 
+// turn is the age of a demand that has waited its turn.
+func (d *Demand) turn() float64 {
+	if d.Waited {
+		return d.AgeS
+	}
+	return 0
+}
+
+// Turns orders demands so that nobody is starved: least work first would put off
+// the largest jobs for as long as smaller ones come. What has waited for too long
+// comes first, but takes no more than the reserve, in cores, that is left for
+// such work, or one task to begin with; the rest of it comes last.
+func Turns(ds []*Demand, reserve float64) []*Demand {
+	Order(ds)
+	var first, last []*Demand
+	for _, d := range ds {
+		n := len(d.Tasks)
+		if d.Waited && urgent(d) > 0 && !d.Gang && d.Each.CPUs > 0 {
+			n = min(n, max(int(reserve/d.Each.CPUs), 1-flag(d.Begun)))
+			reserve -= float64(n) * d.Each.CPUs
+		}
+		if n < len(d.Tasks) {
+			rest := *d
+			rest.Tasks, rest.Waited = d.Tasks[n:], false
+			last = append(last, &rest)
+			d.Tasks = d.Tasks[:n]
+		}
+		if n > 0 {
+			first = append(first, d)
+		}
+	}
+	return append(first, last...)
+}
+
+// Hold keeps machines free of other work until a demand that can't start
+// piecemeal, all tasks of a gang or one task that needs most of a machine, fits:
+// smaller work would take every core as it comes free.
+func Hold(machines []*Machine, d *Demand) {
+	want := 1
+	if d.Gang {
+		want = len(d.Tasks)
+	}
+	var fit []*Machine
+	for _, m := range machines {
+		if !m.Virtual && d.takes(m) && m.Cap.Fits(d.Each) > 0 && d.zoneRoom(m.Zone) > 0 {
+			fit = append(fit, m)
+		}
+	}
+	// The freest first: what is held only becomes freer, so the choice stays.
+	slices.SortStableFunc(fit, func(a, b *Machine) int {
+		return cmp.Or(cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
+	})
+	zone := ""
+	for _, m := range fit {
+		if want <= 0 {
+			break
+		}
+		if d.OneZone && zone != "" && m.Zone != zone {
+			continue
+		}
+		zone = m.Zone
+		want -= m.Cap.Fits(d.Each)
+		m.Free = Resources{}
+	}
+}
+
 func urgent(d *Demand) int { return flag(d.Rank > 0 && !d.Service) }
 
 func flag(b bool) int {
