--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -18,7 +18,9 @@
 	most   int
 }
 
-func newCloud(w *World) *cloud { return &cloud{w: w, hires: map[string][]string{}, most: 9} }
+func newCloud(w *World) *cloud {
+	return &cloud{w: w, hires: map[string][]string{}, most: w.shape.Machines}
+}
 
 func (c *cloud) call(n *node, call controller.CloudCall) {
 	w, life, done := c.w, n.life, false
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -11,7 +11,8 @@
 func Day(w *World, troubles, calm time.Duration) {
 	u := w.users
 	u.stop = troubles
-	w.after(time.Second, func() { u.arrive(4 * time.Second) })
+	w.after(time.Second, func() { u.arrive(w.shape.Arrive) })
+	w.after(troubles, func() { w.calmFrom = w.now })
 	w.after(5*time.Second, u.strangers)
 	for at := 25 * time.Second; at < troubles; at += w.between(4*time.Second, 20*time.Second) {
 		trouble := w.trouble(troubles)
@@ -25,10 +26,11 @@
 
 // trouble draws one trouble; everything is whole again when troubles end.
 func (w *World) trouble(end time.Duration) func() {
-	n := w.nodes[w.rng.IntN(3)]
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	lasting := w.between(3*time.Second, 30*time.Second)
 	undo := func(fn func()) { w.after(min(lasting, max(end-w.now, 0)), fn) }
 	down := w.between(100*time.Millisecond, 6*time.Second)
+	soon := w.between(20*time.Millisecond, 400*time.Millisecond)
 	pick := w.rng.Uint64()
 	someHost := func(fn func(h *host)) {
 		var up []*host
@@ -60,6 +62,25 @@
 			undo(func() { n.refused, n.meshCut = false, false; w.store.notify() })
 		},
 		func() { n.deaf = true; undo(func() { n.deaf = false }) },
+		func() { n.cutOff = true; undo(func() { n.cutOff = false; w.store.notify() }) },
+		func() {
+			n.cutOff = true
+			for _, x := range w.nodes {
+				if x != n {
+					x.crash(down)
+				}
+			}
+			undo(func() { n.cutOff = false; w.store.notify() })
+		},
+		func() { n.crash(soon); w.after(soon+w.between(0, 2*time.Second), func() { n.crash(soon) }) },
+		func() {
+			w.store.setOutage(true)
+			w.after(w.between(time.Second, 4*time.Second), func() { n.crash(soon) })
+			undo(func() { w.store.setOutage(false) })
+		},
+		func() { someHost(func(h *host) { h.restart(soon) }) },
+		func() { someHost(func(h *host) { h.muted = true; undo(func() { h.muted = false }) }) },
+		func() { someHost(func(h *host) { h.muted = true; undo(func() { h.muted = false; h.restart(soon) }) }) },
 		func() { w.cloud.outage = true; undo(func() { w.cloud.outage = false }) },
 		func() { someHost(func(h *host) { h.setCut(true); undo(func() { h.setCut(false) }) }) },
 		func() { someHost(func(h *host) { h.setHung(true); undo(func() { h.setHung(false) }) }) },
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -31,6 +31,8 @@
 	faulty              bool
 
 	cut, hung bool
+	muted     bool     // its reports arrive, but answers and commands don't reach it
+	off       bool     // is starting again
 	held      []func() // messages that wait for the end of a cut
 	frozen    []func() // what a hanging machine will do when it continues
 }
@@ -47,7 +49,7 @@
 
 func (w *World) newHost(id, typ, zone string, spot bool) *host {
 	h := &host{w: w, id: id, typ: typ, zone: zone, spot: spot, born: w.now, session: 1, images: map[string]bool{},
-		drift: (w.rng.Float64() - 0.5) * 0.0008, node: w.rng.IntN(3), faulty: w.chance(0.04)}
+		drift: (w.rng.Float64() - 0.5) * 0.0008, node: w.rng.IntN(len(w.nodes)), faulty: w.chance(0.04)}
 	boot := w.between(6*time.Second, 14*time.Second)
 	if w.chance(0.05) {
 		boot = time.Hour // never comes up
@@ -65,7 +67,7 @@
 // do runs fn on the machine: never when it is gone, later when it hangs.
 func (h *host) do(fn func()) {
 	switch {
-	case h.gone:
+	case h.gone || h.off:
 	case h.hung:
 		h.frozen = append(h.frozen, fn)
 	default:
@@ -75,6 +77,9 @@
 
 // reach delivers a message to the machine, at the end of a cut if there is one.
 func (h *host) reach(fn func()) {
+	if h.muted {
+		return
+	}
 	if h.cut {
 		h.held = append(h.held, func() { h.do(fn) })
 		return
@@ -105,6 +110,27 @@
 	}
 }
 
+// restart ends all that is on the machine; it is back soon after, in a new session
+// or, where it is, with a new lease in the same one.
+func (h *host) restart(down time.Duration) {
+	w := h.w
+	w.Log("%v %s restarts with %d tasks", w.now, h.id, len(h.tasks))
+	h.off, h.tasks, h.held, h.frozen, h.hung = true, nil, nil, nil, false
+	h.reporting++
+	fresh := w.chance(0.7)
+	w.after(down, func() {
+		if h.gone {
+			return
+		}
+		h.off, h.busy, h.leaseFrom = false, false, w.now
+		if fresh {
+			h.session++
+		}
+		h.watchLease()
+		h.report()
+	})
+}
+
 func (h *host) vanish() { h.gone, h.goneAt = true, h.w.now }
 
 func (h *host) leaseEnd() time.Duration {
@@ -165,6 +191,15 @@
 	next := time.Duration(w.cfg.Facts.Workers.ReportS * (0.75 + w.rng.Float64()/2) * float64(time.Second))
 	w.after(next, func() { h.do(h.report) })
 	w.after(4*time.Second, func() { h.do(func() { h.failed(number) }) })
+	if w.chance(0.02) { // a copy, from seconds to well over a lease later
+		x := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(w.between(2*time.Second, 25*time.Second), func() {
+			if x.core != nil {
+				h.tamper(true, &rep)
+				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: rep} }, func(controller.Answer) {})
+			}
+		})
+	}
 	n := w.nodes[h.node]
 	send := func() {
 		if n.core == nil {
@@ -186,6 +221,7 @@
 
 func (h *host) askReport(n *node, rep wire.Report, number int, sent time.Duration) {
 	w := h.w
+	h.tamper(false, &rep)
 	in := controller.ReportRequest{Report: rep}
 	n.ask(func(req uint64) controller.Input { in.Req = req; return in }, func(a controller.Answer) {
 		if w.Tamper.Answer != nil {
@@ -195,13 +231,19 @@
 	})
 }
 
+func (h *host) tamper(late bool, r *wire.Report) {
+	if h.w.Tamper.Report != nil {
+		h.w.Tamper.Report(h, late, r)
+	}
+}
+
 // failed goes on to the next node a second later.
 func (h *host) failed(number int) {
 	if h.reporting != number || !h.busy {
 		return
 	}
 	h.busy = false
-	h.node = (h.node + 1) % 3
+	h.node = (h.node + 1) % len(h.w.nodes)
 	h.w.after(time.Second, func() { h.do(h.report) })
 }
 
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pumicefront/controller"
 	"pumicefront/wire"
 )
 
@@ -25,6 +26,7 @@
 // and ran_cancelled.
 func (w *World) checkStart(h *host, t *task, j *simJob) {
 	w.Log("%v %s starts %s attempt %d", w.now, h.id, t.id, t.attempt)
+	j.begun = true
 	used := j.spec.CPUs
 	zones := map[string]int{h.zone: 1}
 	w.running(func(oh *host, o *task) {
@@ -48,6 +50,60 @@
 	}
 }
 
+// checkAuthority checks that nobody acts for the controllers once another one has
+// begun to. An answer that is only handed on is as old as the leader's own, which
+// was checked when it was given.
+func (w *World) checkAuthority(n *node, o controller.Output) {
+	token := w.topToken
+	switch o := o.(type) {
+	case controller.WorkerCall:
+		token = o.Commands.Token
+	case controller.Answer:
+		if _, asked := n.cause.(controller.ReportRequest); !asked {
+			return
+		}
+		if body, ok := o.Body.(wire.ReportAnswer); ok {
+			token = body.Token
+		}
+	}
+	if token < w.topToken {
+		w.broken("authority", "%s acts with token %d after %d", n.name, token, w.topToken)
+	}
+	w.topToken = token
+}
+
+// forgottenAfter is how long no question about a job may go unanswered once all
+// troubles are over; beginWithin is when a class's largest jobs must have begun.
+const (
+	forgottenAfter = 75 * time.Second
+	beginWithin    = 4 * time.Minute
+)
+
+// checkKnown checks that an accepted job, a finished one too, is still known.
+func (w *World) checkKnown(j *simJob) {
+	if w.calmFrom > 0 && j.accepted && !j.askedCancel && w.now-max(j.known, w.calmFrom) > forgottenAfter {
+		w.broken("forgotten", "nothing is to be learnt of %s since %v", j.spec.ID, j.known)
+	}
+}
+
+// checkBegins checks that one of its class's largest jobs begins in time.
+func (w *World) checkBegins(j *simJob) {
+	largest := 0
+	for _, o := range w.users.list {
+		if o.spec.Class == j.spec.Class {
+			largest = max(largest, o.spec.Tasks)
+		}
+	}
+	if j.spec.Tasks < largest {
+		return
+	}
+	w.after(beginWithin, func() {
+		if !j.begun && !j.askedCancel {
+			w.broken("starved", "%s of %d tasks has not begun", j.spec.ID, j.spec.Tasks)
+		}
+	})
+}
+
 func (w *World) checkPlace(h *host, t *task, j *simJob, zones map[string]int) {
 	s := j.spec
 	ok := (len(s.Types) == 0 || s.Types[0] == h.typ) && (s.Zone == "" || s.Zone == h.zone) && (s.Spot || !h.spot)
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -12,7 +12,7 @@
 // settled is a day in which a service and an array run and nothing has failed.
 func settled(t *testing.T, seed uint64) *World {
 	t.Helper()
-	w := New(seed)
+	w := New(seed, Small)
 	w.after(time.Second, func() {
 		for _, kind := range []string{wire.KindService, wire.KindArray} {
 			j := &simJob{spec: wire.Job{ID: "req-00000" + kind[:1], Class: "web", Team: "red", Kind: kind, Priority: "prod",
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w := New(seed)
+		w := New(seed, Small)
 		w.Log = func(f string, args ...any) { fmt.Printf(f+"\n", args...) }
 		Day(w, troubled, calm)
 		report(t, seed, w)
@@ -39,7 +39,7 @@
 	for seed := range uint64(days) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := New(seed)
+			w := New(seed, Small)
 			Day(w, troubled, calm)
 			report(t, seed, w)
 		})
@@ -57,7 +57,7 @@
 func TestSameSeedSameDay(t *testing.T) {
 	play := func() string {
 		var log strings.Builder
-		w := New(3)
+		w := New(3, Small)
 		w.Log = func(f string, args ...any) { fmt.Fprintf(&log, f+"\n", args...) }
 		Day(w, 80*time.Second, 10*time.Second)
 		return log.String()
@@ -71,7 +71,7 @@
 func caught(t *testing.T, rule string, tamper func() Tamper) {
 	t.Helper()
 	for seed := range uint64(60) {
-		w := New(seed)
+		w := New(seed, Small)
 		w.Tamper = tamper()
 		Day(w, troubled, time.Second)
 		for _, r := range w.Rules {
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -200,7 +200,7 @@
 	if x.done {
 		return true
 	}
-	if s.outage || x.n.refused {
+	if s.outage || x.n.refused || x.n.cutOff {
 		return false // open watches wait
 	}
 	events := s.changes(x.prefix, x.after)
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -27,6 +27,8 @@
 	askedCancel bool
 	cancelTold  bool
 	cancelledAt time.Duration
+	begun       bool          // a task has started
+	known       time.Duration // when a question about it was answered last
 }
 
 // told is what a job's user has been told for good.
@@ -64,7 +66,7 @@
 	w := u.w
 	j := &simJob{spec: wire.Job{
 		ID: fmt.Sprintf("req-%06d", w.rng.IntN(1000)*1000+len(u.list)), Class: "batch", Team: []string{"red", "blue"}[w.rng.IntN(2)],
-		Kind: wire.KindArray, Priority: "standard", Tasks: 1 + w.rng.IntN(7), CPUs: float64(int(1) << w.rng.IntN(3)), MemoryGB: 2,
+		Kind: wire.KindArray, Priority: "standard", Tasks: 1 + w.rng.IntN(w.shape.Tasks), CPUs: float64(int(1) << w.rng.IntN(3)), MemoryGB: 2,
 		Image: fmt.Sprintf("img-%d", w.rng.IntN(3)), ImageGB: 1, Spot: w.chance(0.5), Spread: w.chance(0.3),
 	}, run: w.between(2*time.Second, 25*time.Second)}
 	if w.chance(0.3) {
@@ -106,6 +108,9 @@
 			return
 		}
 		n.ask(func(req uint64) controller.Input { r.Req = req; return r }, func(a controller.Answer) {
+			if w.Tamper.User != nil {
+				w.Tamper.User(&r, &a)
+			}
 			w.after(w.latency(), func() { finish(a) })
 		})
 	})
@@ -118,6 +123,10 @@
 		case http.StatusOK, http.StatusCreated:
 			first := !j.accepted
 			j.accepted = true
+			j.known = u.w.now
+			if first {
+				u.w.checkBegins(j)
+			}
 			u.w.checkState(j, before, a.Body.(wire.JobState))
 			if first {
 				u.poll(j)
@@ -136,12 +145,14 @@
 	u.request(controller.UserRequest{Op: controller.UserPoll, Job: j.spec.ID}, func(a controller.Answer) {
 		switch a.Status {
 		case http.StatusOK:
+			j.known = u.w.now
 			u.w.checkState(j, before, a.Body.(wire.JobState))
 		case http.StatusNotFound:
 			u.w.broken("forgotten", "%s gets 404", j.spec.ID)
 		}
+		u.w.checkKnown(j)
 		wait := u.w.between(2*time.Second, 6*time.Second)
-		if j.doneTold || j.cancelTold {
+		if u.w.calmFrom == 0 && (j.doneTold || j.cancelTold) {
 			wait *= 6
 		}
 		u.w.after(wait, func() { u.poll(j) })
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -21,28 +21,50 @@
 // Tamper breaks a safety rule on purpose, to show that the checks bite.
 type Tamper struct {
 	Answer     func(w *World, r *controller.ReportRequest, a *controller.Answer)
+	Report     func(h *host, late bool, r *wire.Report)
+	User       func(r *controller.UserRequest, a *controller.Answer)
+	Boot       func(now time.Time) time.Time // when a process believes that it starts
 	State      func(call *controller.StateCall) (controller.StateReply, bool)
 	StateReply func(call *controller.StateCall, r *controller.StateReply)
 }
 
+// Shape is the size of a deployment.
+type Shape struct {
+	Controllers int
+	Machines    int           // the most that the cloud gives
+	Scale       float64       // of the teams' guarantees and limits
+	Tasks       int           // the most that an array has
+	Arrive      time.Duration // between submissions, in the mean
+}
+
+// The shapes that days are played in: as the first deployments are, and as they
+// have grown.
+var (
+	Small = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, Arrive: 4 * time.Second}
+	Grown = Shape{Controllers: 5, Machines: 240, Scale: 20, Tasks: 120, Arrive: 3 * time.Second}
+)
+
 // World is one simulated day.
 type World struct {
 	Rules  []string // rules broken, with what happened
 	Log    func(string, ...any)
 	Tamper Tamper
 
-	rng    *rand.Rand
-	start  time.Time
-	now    time.Duration
-	events events
-	seq    int
-	cfg    config.Platform
-	op     config.Operator
-	nodes  []*node
-	store  *store
-	cloud  *cloud
-	hosts  []*host
-	users  *users
+	shape    Shape
+	topToken uint64        // the highest that anything was sent with
+	calmFrom time.Duration // when all troubles were over; 0: not yet
+	rng      *rand.Rand
+	start    time.Time
+	now      time.Duration
+	events   events
+	seq      int
+	cfg      config.Platform
+	op       config.Operator
+	nodes    []*node
+	store    *store
+	cloud    *cloud
+	hosts    []*host
+	users    *users
 }
 
 // event runs at its time; equal times keep their order.
@@ -67,17 +89,18 @@
 	return x
 }
 
-// New returns a day with three controllers.
-func New(seed uint64) *World {
+// New returns a day of the given shape.
+func New(seed uint64, shape Shape) *World {
 	w := &World{
-		rng: rand.New(rand.NewPCG(seed, 77)), start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
+		shape: shape,
+		rng:   rand.New(rand.NewPCG(seed, 77)), start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
 		op: config.DefaultOperator(), Log: func(string, ...any) {},
 	}
-	w.cfg = settings()
+	w.cfg = settings(shape)
 	w.store = newStore(w)
 	w.cloud = newCloud(w)
 	w.users = newUsers(w)
-	for i := range 3 {
+	for i := range shape.Controllers {
 		n := &node{w: w, i: i, name: fmt.Sprintf("n%d", i), drift: (w.rng.Float64() - 0.5) * 0.0008}
 		w.nodes = append(w.nodes, n)
 	}
@@ -87,10 +110,10 @@
 	return w
 }
 
-func settings() config.Platform {
+func settings(s Shape) config.Platform {
 	var p config.Platform
 	f := &p.Facts
-	f.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 40}}
+	f.Teams = []config.Team{{Name: "red", CPUs: 16 * s.Scale, CPUsMax: 24 * s.Scale}, {Name: "blue", CPUs: 8 * s.Scale, CPUsMax: 40 * s.Scale}}
 	f.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 2, Share: 0.9}}
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 2, 10, 24
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 60, 8, 16
@@ -152,7 +175,9 @@
 	nextReq  uint64
 	refused  bool // by the state service
 	meshCut  bool
-	deaf     bool     // cut off from the workers
+	deaf     bool // cut off from the workers
+	cutOff   bool // neither the state service nor the other controllers are reached
+	cause    controller.Input
 	sent     []func() // commands carried out lately, which may be repeated after a crash
 }
 
@@ -164,14 +189,18 @@
 	cfg := n.w.cfg
 	cfg.Member = n.name
 	cfg.Others = nil
-	for i := range 3 {
+	for i := range n.w.nodes {
 		if i != n.i {
 			cfg.Others = append(cfg.Others, config.Peer{Member: fmt.Sprintf("n%d", i)})
 		}
 	}
+	start := n.clock()
+	if n.w.Tamper.Boot != nil {
+		start = n.w.Tamper.Boot(start)
+	}
 	n.life++
 	n.requests = map[uint64]func(controller.Answer){}
-	n.core = controller.New(&cfg, n.w.op, rand.New(rand.NewPCG(n.w.rng.Uint64(), 1)), n.clock())
+	n.core = controller.New(&cfg, n.w.op, rand.New(rand.NewPCG(n.w.rng.Uint64(), 1)), start)
 	n.step(controller.Tick{})
 }
 
@@ -195,7 +224,9 @@
 	if n.core == nil {
 		return
 	}
+	n.cause = in
 	for _, o := range n.core.Step(n.clock(), in) {
+		n.w.checkAuthority(n, o)
 		n.carryOut(o)
 	}
 	if n.core == nil {
@@ -246,11 +277,15 @@
 
 func (n *node) sendMesh(o controller.MeshSend) {
 	to := n.w.nodes[slices.IndexFunc(n.w.nodes, func(x *node) bool { return x.name == o.To })]
-	if n.meshCut || to.meshCut {
+	if n.meshCut || to.meshCut || n.cutOff || to.cutOff {
 		return
 	}
 	copyOf := &mesh.Envelope{From: o.Envelope.From, Body: o.Envelope.Body}
-	n.w.after(n.w.latency(), func() { to.step(controller.MeshMessage{Envelope: copyOf}) })
+	deliver := func() { to.step(controller.MeshMessage{Envelope: copyOf}) }
+	n.w.after(n.w.latency(), deliver)
+	if n.w.chance(0.01) { // a copy, much later
+		n.w.after(n.w.between(100*time.Millisecond, 15*time.Second), deliver)
+	}
 }
 
 // ask sends a request to the node; fn gets the answer unless the node dies.
@@ -283,13 +318,16 @@
 			return
 		}
 	}
+	if n.cutOff {
+		return // until the call is given up
+	}
 	late, lost := w.latency(), w.chance(0.004)
 	if call.Op == controller.OpTxn && w.chance(0.004) {
 		late, lost = w.between(time.Second, 20*time.Second), true
 	}
 	w.after(late, func() {
 		w.store.handle(n, call, func(r controller.StateReply) {
-			if !lost {
+			if !lost && !n.cutOff {
 				w.after(w.latency(), func() { reply(r) })
 			}
 		})
