--- a/controller/machines.go
+++ b/controller/machines.go
@@ -275,6 +275,10 @@
 	m := a.machine
 	if m.session > a.session || m.token > a.token && a.sent {
 		l.gone(a, reduction.Reset, "not on its machine")
+	} else if a.seen {
+		// It was there, has not ended, and is not there in the same stint: the
+		// machine has begun again. Nothing but a raised token can prove it gone.
+		l.raiseToken("attempt has vanished")
 	}
 }
 
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -110,21 +110,22 @@
 	}
 }
 
-// restart ends all that is on the machine; it is back soon after, in a new session
-// or, where it is, with a new lease in the same one.
+// restart ends all that is on the machine; it is back soon after, in a new session,
+// and may have forgotten the token that it had seen.
 func (h *host) restart(down time.Duration) {
 	w := h.w
 	w.Log("%v %s restarts with %d tasks", w.now, h.id, len(h.tasks))
 	h.off, h.tasks, h.held, h.frozen, h.hung = true, nil, nil, nil, false
 	h.reporting++
-	fresh := w.chance(0.7)
+	fresh := w.chance(0.5)
 	w.after(down, func() {
 		if h.gone {
 			return
 		}
 		h.off, h.busy, h.leaseFrom = false, false, w.now
+		h.session++
 		if fresh {
-			h.session++
+			h.token = 0
 		}
 		h.watchLease()
 		h.report()
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -140,3 +140,20 @@
 	}
 	return len(t.Then) > 0
 }
+
+// TestGrownDays plays days of five controllers, hundreds of machines and large
+// arrays. PUMICEFRONT_GROWN=N plays more.
+func TestGrownDays(t *testing.T) {
+	days := 3
+	if s := os.Getenv("PUMICEFRONT_GROWN"); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := New(seed, Grown)
+			Day(w, troubled, calm)
+			report(t, seed, w)
+		})
+	}
+}
