--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -15,11 +15,11 @@
 	next   int
 	hires  map[string][]string
 	outage bool
-	most   int
+	most   int // of each type
 }
 
 func newCloud(w *World) *cloud {
-	return &cloud{w: w, hires: map[string][]string{}, most: w.shape.Machines}
+	return &cloud{w: w, hires: map[string][]string{}, most: (w.shape.Machines + 1) / 2}
 }
 
 func (c *cloud) call(n *node, call controller.CloudCall) {
@@ -77,7 +77,7 @@
 	}
 	up := 0
 	for _, h := range c.w.hosts {
-		if !h.gone {
+		if !h.gone && h.typ == r.Type {
 			up++
 		}
 	}
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -78,6 +78,14 @@
 			w.after(w.between(time.Second, 4*time.Second), func() { n.crash(soon) })
 			undo(func() { w.store.setOutage(false) })
 		},
+		func() { // leases run out, and the controllers are back one by one
+			for _, x := range w.nodes {
+				x.refused = true
+				lasts := min(lasting/4+w.between(0, 4*time.Second), max(end-w.now, 0))
+				w.after(lasts, func() { x.refused = false; w.store.notify() })
+			}
+			w.after(w.between(0, 3*time.Second), func() { n.crash(soon) })
+		},
 		func() { someHost(func(h *host) { h.restart(soon) }) },
 		func() { someHost(func(h *host) { h.muted = true; undo(func() { h.muted = false }) }) },
 		func() { someHost(func(h *host) { h.muted = true; undo(func() { h.muted = false; h.restart(soon) }) }) },
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -68,12 +68,12 @@
 }
 
 // caught plays tampered days until one breaks the rule.
-func caught(t *testing.T, rule string, tamper func() Tamper) {
+func caught(t *testing.T, rule string, after time.Duration, tamper func() Tamper) {
 	t.Helper()
 	for seed := range uint64(60) {
 		w := New(seed, Small)
 		w.Tamper = tamper()
-		Day(w, troubled, time.Second)
+		Day(w, troubled, after)
 		for _, r := range w.Rules {
 			if strings.HasPrefix(r, rule) {
 				return
@@ -87,7 +87,7 @@
 func TestCheckerBites(t *testing.T) {
 	t.Run("forgets at once", func(t *testing.T) {
 		t.Parallel()
-		caught(t, "ran_", func() Tamper {
+		caught(t, "ran_", time.Second, func() Tamper {
 			return Tamper{Answer: func(w *World, r *controller.ReportRequest, a *controller.Answer) {
 				body, ok := a.Body.(wire.ReportAnswer)
 				if !ok {
@@ -104,7 +104,7 @@
 	})
 	t.Run("runs without a record", func(t *testing.T) {
 		t.Parallel()
-		caught(t, "ran_twice", func() Tamper {
+		caught(t, "ran_twice", time.Second, func() Tamper {
 			return Tamper{State: func(call *controller.StateCall) (controller.StateReply, bool) {
 				if call.Op != controller.OpTxn || !onlyTasks(call.Txn) {
 					return controller.StateReply{}, false
@@ -115,7 +115,7 @@
 	})
 	t.Run("new leader does not wait for proof", func(t *testing.T) {
 		t.Parallel()
-		caught(t, "ran_twice", func() Tamper {
+		caught(t, "ran_twice", time.Second, func() Tamper {
 			return Tamper{StateReply: func(call *controller.StateCall, r *controller.StateReply) {
 				if call.Op != controller.OpRange || call.Key != "t/" {
 					return
@@ -132,6 +132,84 @@
 	})
 }
 
+// TestCheckerBitesOnTheAdditions breaks what the users have added.
+func TestCheckerBitesOnTheAdditions(t *testing.T) {
+	isTask := func(call *controller.StateCall, job string) bool {
+		return call.Op == controller.OpTxn && onlyTasks(call.Txn) && strings.Contains(call.Txn.Then[0].Put, job)
+	}
+	t.Run("one job's questions always find no room", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "forgotten", calm, func() Tamper {
+			first := ""
+			return Tamper{User: func(r *controller.UserRequest, a *controller.Answer) {
+				if r.Op == controller.UserPoll && first == "" && a.Status == http.StatusOK {
+					first = r.Job
+				}
+				if r.Job == first && first != "" {
+					*a = controller.Answer{Req: a.Req, Status: http.StatusServiceUnavailable}
+				}
+			}}
+		})
+	})
+	t.Run("one job's tasks are never placed", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "starved", calm, func() Tamper {
+			first := ""
+			return Tamper{State: func(call *controller.StateCall) (controller.StateReply, bool) {
+				if first == "" && isTask(call, "") {
+					first, _, _ = wire.SplitTask(strings.TrimPrefix(call.Txn.Then[0].Put, "t/"))
+				}
+				return controller.StateReply{Status: http.StatusServiceUnavailable}, first != "" && isTask(call, first)
+			}}
+		})
+	})
+	t.Run("a late copy passes for the newest report", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_", calm, func() Tamper {
+			return Tamper{Report: func(h *host, late bool, r *wire.Report) {
+				if late {
+					r.Session, r.Seq, r.Token, r.Tasks = h.session, h.seq+1, h.token, nil
+				}
+			}}
+		})
+	})
+	t.Run("what a machine that hears nothing reports is taken for its end", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_twice", calm, func() Tamper {
+			return Tamper{Report: func(h *host, _ bool, r *wire.Report) {
+				if h.muted {
+					r.Session, r.Tasks = r.Session+1, nil // as if its lease had run out
+				}
+			}}
+		})
+	})
+	t.Run("a controller without authority answers reports", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "authority", calm, func() Tamper {
+			token := uint64(0)
+			return Tamper{Output: func(n *node, o controller.Output) controller.Output {
+				a, ok := o.(controller.Answer)
+				if !ok {
+					return o
+				}
+				if body, ok := a.Body.(wire.ReportAnswer); ok {
+					token = max(token, body.Token)
+				}
+				if n.cutOff && a.Status == http.StatusMisdirectedRequest && token > 0 {
+					a.Status, a.Body = http.StatusOK, wire.ReportAnswer{Token: token - 1}
+				}
+				return a
+			}}
+		})
+	})
+	t.Run("a restarted controller knows of no promise", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "", calm, func() Tamper {
+			return Tamper{Boot: func(now time.Time) time.Time { return now.Add(-time.Hour) }}
+		})
+	})
+}
+
 func onlyTasks(t wire.Txn) bool {
 	for _, c := range t.Then {
 		if !strings.HasPrefix(c.Put, "t/") {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -23,6 +23,7 @@
 	Answer     func(w *World, r *controller.ReportRequest, a *controller.Answer)
 	Report     func(h *host, late bool, r *wire.Report)
 	User       func(r *controller.UserRequest, a *controller.Answer)
+	Output     func(n *node, o controller.Output) controller.Output
 	Boot       func(now time.Time) time.Time // when a process believes that it starts
 	State      func(call *controller.StateCall) (controller.StateReply, bool)
 	StateReply func(call *controller.StateCall, r *controller.StateReply)
@@ -31,7 +32,7 @@
 // Shape is the size of a deployment.
 type Shape struct {
 	Controllers int
-	Machines    int           // the most that the cloud gives
+	Machines    int           // the most that the cloud gives, half of them of each type
 	Scale       float64       // of the teams' guarantees and limits
 	Tasks       int           // the most that an array has
 	Arrive      time.Duration // between submissions, in the mean
@@ -226,6 +227,9 @@
 	}
 	n.cause = in
 	for _, o := range n.core.Step(n.clock(), in) {
+		if n.w.Tamper.Output != nil {
+			o = n.w.Tamper.Output(n, o)
+		}
 		n.w.checkAuthority(n, o)
 		n.carryOut(o)
 	}
