--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -207,3 +208,158 @@
 		t.Fatal("a promise does not bind")
 	}
 }
+
+// An attempt that has to stop after its record is written and before its run is
+// sent must not stay in force for ever.
+func TestStoppedBeforeItWasSent(t *testing.T) {
+	_, l, j := leading(t)
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: 7})
+	place(l, j, 0, m)
+	l.finish(j, 0) // an earlier attempt, taken for lost, has finished
+	if j.attempts[0] != nil {
+		t.Fatal("still in force")
+	}
+}
+
+// What a machine ran and no longer lists, in the same stint, is settled by a
+// raised token.
+func TestVanishedAttemptRaisesTheToken(t *testing.T) {
+	c, l, j := leading(t)
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: 7})
+	a := place(l, j, 0, m)
+	l.runCommand(a)
+	l.apply(m, report(m, 7, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskRunning}))
+	c.now = c.now.Add(bumpPause)
+	l.apply(m, report(m, 7))
+	if j.attempts[0] == nil || !l.bumping {
+		t.Fatalf("in force %v, raising %v", j.attempts[0] != nil, l.bumping)
+	}
+}
+
+// A report made before the election may be a late copy, of a machine that is gone:
+// the machine itself has to be heard before it counts as up.
+func TestLateCopyRevivesNoMachine(t *testing.T) {
+	c, l, _ := leading(t)
+	copied := wire.Report{Machine: "i-1", Addr: "10.0.0.1:9000", Session: 1, Seq: 5, Token: 6}
+	c.out = nil
+	c.report(ReportRequest{Req: 1, Report: copied})
+	if l.machine("i-1").up {
+		t.Fatal("up by a report that may be a copy")
+	}
+	asked := false
+	for _, o := range c.out {
+		_, call := o.(WorkerCall)
+		asked = asked || call
+	}
+	if !asked {
+		t.Fatal("the machine is not asked")
+	}
+	copied.Token, copied.Seq = 7, 6
+	if c.report(ReportRequest{Req: 2, Report: copied}); !l.machine("i-1").up {
+		t.Fatal("not up though it has seen our token")
+	}
+}
+
+// A machine whose reports arrive but which answers no command gets no new work,
+// and a report does not change that.
+func TestMachineThatHearsNothing(t *testing.T) {
+	c, l, j := leading(t)
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: 7})
+	for i := range 8 {
+		o := l.machine(fmt.Sprintf("i-2%d", i))
+		l.apply(o, &wire.Report{Machine: o.id, Session: 1, Seq: 1, Token: 7})
+	}
+	l.runCommand(place(l, j, 0, m))
+	call := func(status int) {
+		l.command(m, nil)
+		id := c.out[len(c.out)-1].(WorkerCall).ID
+		c.now = c.now.Add(time.Second)
+		resume(c.workerCalls, id, WorkerReply{Status: status, Report: *report(m, 7)})
+	}
+	call(0)
+	l.apply(m, report(m, 7))
+	l.cut = l.cutZones()
+	if l.usable(m) {
+		t.Fatal("new work for a machine that hears nothing")
+	}
+	if call(200); !l.usable(m) {
+		t.Fatal("not used again once it answers")
+	}
+}
+
+// An answer of a machine that is older than what it had said before it was asked
+// shows that it has begun again. That alone proves nothing gone.
+func TestRestartedMachineIsFenced(t *testing.T) {
+	c, l, j := leading(t)
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 3, Seq: 70, Token: 7})
+	l.runCommand(place(l, j, 0, m))
+	c.now = c.now.Add(bumpPause)
+	l.command(m, nil)
+	id := c.out[len(c.out)-1].(WorkerCall).ID
+	resume(c.workerCalls, id, WorkerReply{Status: 200, Report: wire.Report{Machine: m.id, Session: 1, Seq: 1}})
+	if m.session != 1 || !l.bumping || j.attempts[0] == nil {
+		t.Fatalf("session %d, raising %v, in force %v", m.session, l.bumping, j.attempts[0] != nil)
+	}
+}
+
+// The answer to a report that an earlier process handed on must not reach another
+// worker.
+func TestRelayAnswerToAnEarlierProcess(t *testing.T) {
+	ids := map[uint64]bool{}
+	for seed := range uint64(20) {
+		c, _, _ := leading(t)
+		c = New(c.cfg, c.op, rand.New(rand.NewPCG(seed, 1)), c.now)
+		ids[c.id()] = true
+	}
+	if len(ids) < 20 {
+		t.Fatal("processes count from the same number")
+	}
+}
+
+// Where there are more questions than reads, nobody is refused for ever: reads go
+// first come first served, also for those who have stopped waiting.
+func TestFinalReadsAreFair(t *testing.T) {
+	c, _, _ := leading(t)
+	c.lead, c.control.loaded = nil, true
+	c.reads = rate.NewLimiter(1, 1)
+	c.reads.AllowN(c.now, 1)
+	told := []known{}
+	c.lookupFinal("req-000001", func(k known) { told = append(told, k) })
+	c.now = c.now.Add(finalPatience + time.Millisecond)
+	c.runTimers()
+	if len(told) != 1 || told[0] != knownUnsure {
+		t.Fatalf("told %v", told)
+	}
+	read := c.out[len(c.out)-1].(StateCall)
+	resume(c.stateCalls, read.ID, StateReply{Status: 200, Item: wire.Item{Value: wire.Marshal(finalRecord{Tasks: 1})}})
+	c.lookup("req-000001", func(k known) { told = append(told, k) })
+	if told[len(told)-1] != knownFinal {
+		t.Fatal("the read made for a user who had left serves nobody")
+	}
+}
+
+// While the state service is not reached, requests are refused without waiting,
+// and the first success ends that.
+func TestUnreachedStateRefusesAtOnce(t *testing.T) {
+	c, _, _ := leading(t)
+	c.lead, c.control.loaded = nil, true
+	c.sync(func(bool) {})
+	first := c.out[len(c.out)-1].(StateCall)
+	resume(c.stateCalls, first.ID, StateReply{})
+	refused := false
+	c.sync(func(ok bool) { refused = !ok })
+	if !refused {
+		t.Fatal("waits for a service that is not reached")
+	}
+	c.now = c.now.Add(retryPause)
+	c.runTimers()
+	again := c.out[len(c.out)-1].(StateCall)
+	resume(c.stateCalls, again.ID, StateReply{Status: 200})
+	if c.control.unreached {
+		t.Fatal("refuses for ever")
+	}
+}
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -200,12 +200,7 @@
 		j.state.Accumulate(t, reduction.Cancelled)
 	}
 	for _, a := range j.sortedAttempts() {
-		switch {
-		case !a.sent && (j.write == nil || !slices.Contains(j.write.attempts, a)):
-			l.gone(a, reduction.Reset, "never sent")
-		default:
-			l.stop(a, 0)
-		}
+		l.stop(a, 0)
 	}
 }
 
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -331,8 +331,14 @@
 	return j == nil || !j.dirty && j.write == nil
 }
 
-// stop makes an attempt stop; it stays in force until it is proved gone.
+// stop makes an attempt stop; it stays in force until it is proved gone. One whose
+// run was not sent will not be: nobody else would ever prove it gone. While its
+// record is being written, the end of the write sees to it.
 func (l *lead) stop(a *attempt, grace float64) {
+	if w := a.job.write; !a.sent && (w == nil || !slices.Contains(w.attempts, a)) {
+		l.gone(a, reduction.Reset, "never sent")
+		return
+	}
 	if a.stopping && a.grace <= grace {
 		return
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,3 +196,104 @@
 		}
 	}
 }
+
+// crowd plays rounds on one machine-sized world: small jobs never stop coming, and
+// each class and team has one large job. It returns when each large one began and
+// how many of its tasks were placed.
+func crowd(t *testing.T, large []*Demand) (began map[string]int, served map[string]int) {
+	t.Helper()
+	ms := machines(4, "x", 16)
+	began, served = map[string]int{}, map[string]int{}
+	type busy struct {
+		m    *Machine
+		each Resources
+		ends int
+		old  bool
+	}
+	var running []busy
+	for round := range 600 {
+		reserve := 8.0
+		running = slices.DeleteFunc(running, func(b busy) bool {
+			if b.ends <= round {
+				b.m.Free = b.m.Free.Add(b.each, 1)
+			} else if b.old {
+				reserve -= b.each.CPUs
+			}
+			return b.ends <= round
+		})
+		var ds []*Demand
+		for i := range 8 {
+			s := demand(6, 2)
+			s.Job, s.Rank, s.WorkS, s.Class, s.Team = fmt.Sprintf("small%d-%d", round, i), 2, 1, "batch", []string{"red", "blue"}[i%2]
+			ds = append(ds, s)
+		}
+		for _, l := range large {
+			if len(l.Tasks) > 0 {
+				d := *l
+				d.AgeS, d.Begun, d.InZone = float64(round), served[l.Job] > 0, map[string]int{}
+				d.Waited = round > 80 && !d.Begun || round > 120
+				d.RoomInTeam = len(d.Tasks)
+				ds = append(ds, &d)
+			}
+		}
+		now := make([]Resources, len(ms))
+		for i, m := range ms {
+			now[i] = m.Free
+		}
+		var placed []Assignment
+		for _, d := range Turns(ds, max(reserve, 0)) {
+			ps := Place(ms, d)
+			placed = append(placed, ps...)
+			for _, p := range ps {
+				running = append(running, busy{p.Machine, d.Each, round + 7, d.AgeS > 120})
+			}
+			if d.Waited && len(ps) == 0 {
+				Hold(ms, d)
+			}
+			for _, l := range large {
+				if l.Job == d.Job && len(ps) > 0 {
+					if served[l.Job] == 0 {
+						began[l.Job] = round
+					}
+					served[l.Job] += len(ps)
+					l.Tasks = l.Tasks[len(ps):]
+				}
+			}
+		}
+		for i, m := range ms { // what was held is free again in the next round
+			m.Free = now[i]
+		}
+		for _, b := range running {
+			if b.ends == round+7 {
+				b.m.Free = b.m.Free.Add(b.each, -1)
+			}
+		}
+	}
+	return began, served
+}
+
+// Small jobs that never stop coming must not starve a class's or a team's largest.
+func TestTheLargestAreServed(t *testing.T) {
+	var large []*Demand
+	for _, class := range []string{"batch", "nightly"} {
+		for _, team := range []string{"red", "blue"} {
+			d := demand(40, 4)
+			d.Job, d.Class, d.Team, d.Rank, d.WorkS, d.Late = class+"-"+team, class, team, 2, 1e6, 1
+			large = append(large, d)
+		}
+	}
+	whole := demand(2, 16) // needs whole machines, which never come free by themselves
+	whole.Job, whole.Class, whole.Team, whole.Rank, whole.WorkS, whole.Late = "whole", "wide", "red", 2, 1e6, 1
+	gang := demand(3, 12)
+	gang.Job, gang.Class, gang.Team, gang.Rank, gang.WorkS, gang.Gang = "gang", "gang", "blue", 2, 1e6, true
+	large = append(large, whole, gang)
+	began, served := crowd(t, large)
+	for _, d := range large {
+		if at, ok := began[d.Job]; !ok || at > 240 {
+			t.Errorf("%s began after %d rounds, ever: %v", d.Job, at, ok)
+		}
+		if served[d.Job] < d.Total/2 {
+			t.Errorf("%s: %d of %d tasks served", d.Job, served[d.Job], d.Total)
+		}
+	}
+}
