Headroom by the variance of arrivals; what has waited its turn is not stopped for a guarantee

And the headroom asked for 1.5 times all that ran, since that share was made for a few jobs; the sum of many varies far less. Room is now kept for three deviations of what arrives while a machine boots.

--- a/config/config.go
+++ b/config/config.go
@@ -83,11 +83,12 @@
 	IdleS        float64 `hcl:"idle_s,optional"`
 	Headroom     float64 `hcl:"headroom,optional"`
 	HeadroomMost float64 `hcl:"headroom_most,optional"`
+	Surge        float64 `hcl:"surge,optional"`
 }
 
 // DefaultOperator are the settings where the file says nothing.
 func DefaultOperator() Operator {
-	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5}
+	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5, Surge: 3}
 }
 
 // LeaderLifetime is the life of the leader's lease.
@@ -178,6 +179,7 @@
 		{"idle_s", o.IdleS, 0, 86400},
 		{"headroom", o.Headroom, 0, 10},
 		{"headroom_most", o.HeadroomMost, 0, 10},
+		{"surge", o.Surge, 0, 100},
 	})
 }
 
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -279,13 +279,14 @@
 }
 
 // headroom asks for room beyond what runs, class by class: the more, the longer
-// a machine takes to boot against what the class's aims allow.
+// a machine takes to boot against what the class's aims allow, but no more than
+// may be missing before a machine that is rented now is up.
 func (l *lead) headroom() []*scheduler.Demand {
 	l.trackPeaks()
 	var ds []*scheduler.Demand
 	for _, class := range slices.Sorted(maps.Keys(l.fleet.peaks)) {
 		p := l.fleet.peaks[class]
-		n := int(math.Ceil(p.tasks * l.headroomShare(&p.spec)))
+		n := int(math.Ceil(math.Min(p.tasks*l.headroomShare(&p.spec), l.surge(class))))
 		if n == 0 {
 			continue
 		}
@@ -319,6 +320,34 @@
 	}
 }
 
+// surgeWindow is over how long arrivals are counted.
+const surgeWindow = 90 * time.Second
+
+// arrival is a job that came lately.
+type arrival struct {
+	class string
+	tasks int
+	at    time.Time
+}
+
+// surge is by how many tasks the arrivals of a class may exceed their mean while
+// a machine boots. Jobs come one by one and bring all their tasks at once, so the
+// variance is that of the sum of their sizes: many small jobs need far less room
+// in proportion than few large ones.
+func (l *lead) surge(class string) float64 {
+	l.arrivals = slices.DeleteFunc(l.arrivals, func(a arrival) bool { return l.c.now.Sub(a.at) > surgeWindow })
+	boot, squares := 0.0, 0.0
+	for _, t := range l.c.types {
+		boot = math.Max(boot, t.BootS)
+	}
+	for _, a := range l.arrivals {
+		if a.class == class {
+			squares += float64(a.tasks) * float64(a.tasks)
+		}
+	}
+	return l.c.op.Surge * math.Sqrt(squares*boot/surgeWindow.Seconds())
+}
+
 // headroomShare weighs boot time against the tightest aim on starting: where a
 // machine can be rented in time, no room need be kept.
 func (l *lead) headroomShare(j *wire.Job) float64 {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -58,6 +58,7 @@
 	sent      bool
 	seen      bool // a report has shown it
 	running   bool
+	kept      bool // placed after waiting its turn
 	placed    time.Time
 	since     time.Time // running since
 	stopping  bool
@@ -165,6 +166,7 @@
 	j.terms = &scheduler.Terms{Job: id, Team: h.Job.Team, Rank: slices.Index(wire.Priorities, h.Job.Priority),
 		Each: jobEach(&h.Job), CheckpointS: h.Job.CheckpointS}
 	l.sharesAt = time.Time{}
+	l.arrivals = append(l.arrivals, arrival{h.Job.Class, h.Job.Tasks, j.accepted})
 	l.jobs[id] = j
 	at, _ := slices.BinarySearchFunc(l.order, j, func(a, b *job) int {
 		if n := a.accepted.Compare(b.accepted); n != 0 {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -43,6 +43,7 @@
 	sought     map[string]time.Time // machines asked for a report, and when
 	cut        map[string]bool      // see cutZones
 
+	arrivals []arrival
 	fleet    fleet
 	talkedAt time.Time
 	hintedAt time.Time
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -366,7 +366,7 @@
 	if a.running {
 		since = a.since
 	}
-	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since})
+	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since, Kept: a.kept})
 }
 
 // sharesEvery is how often the guarantees are dealt out anew where no job has come.
@@ -423,12 +423,12 @@
 		if !d.Gang {
 			ch.next++
 		}
-		l.plan(j, p, ch.next)
+		l.plan(j, p, ch.next).kept = d.Waited
 	}
 }
 
 // plan puts an attempt in force; its run is sent once the record is written.
-func (l *lead) plan(j *job, p scheduler.Assignment, number uint64) {
+func (l *lead) plan(j *job, p scheduler.Assignment, number uint64) *attempt {
 	m := l.machines[p.Machine.ID]
 	a := &attempt{job: j, task: p.Task, number: number, machine: m, session: m.session, placed: l.c.now}
 	j.attempts[p.Task] = a
@@ -438,6 +438,7 @@
 	j.pressing = true
 	l.c.log(slog.LevelDebug, "placed", "job", j.id, "task", p.Task, "attempt", a.number, "machine", m.id,
 		"cached", m.images[j.spec.Image], "part", p.Machine.Part)
+	return a
 }
 
 // preempt stops what has to give way for a demand and counts the tasks that get
--- a/deploy/pumicefront.hcl
+++ b/deploy/pumicefront.hcl
@@ -4,3 +4,4 @@
 idle_s        = 15
 headroom      = 0.1
 headroom_most = 1.5
+surge         = 3
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,6 +62,7 @@
 	*Terms
 	Task  int
 	Since time.Time // running since; zero: not running
+	Kept  bool      // came after waiting its turn: gives way to higher priority alone
 }
 
 // lost is the work, in seconds, that stopping the task now loses.
@@ -459,7 +460,7 @@
 func choose(m *Machine, d *Demand, free Resources, now time.Time) ([]Victim, float64) {
 	var vs []Victim
 	for _, v := range m.Tasks {
-		if v.Rank > d.Rank || d.Within && v.Borrowed && v.Team != d.Team {
+		if v.Rank > d.Rank || d.Within && v.Borrowed && !v.Kept && v.Team != d.Team {
 			vs = append(vs, v)
 		}
 	}
