Services leave the machines that only arrays fit; what waited keeps its place beyond the reserve

And arrays of 8 cores fit the large type alone, which the replicas had filled at the start since it boots first. Replicas now prefer types that other classes can't use, and wait for them where the aim on starting is lost anyway.

--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -46,7 +46,8 @@
 	if len(demands) == 0 {
 		return
 	}
-	machines := l.view(false)
+	all := l.view(true)
+	machines := slices.DeleteFunc(slices.Clone(all), func(m *scheduler.Machine) bool { return m.Virtual })
 	demands = scheduler.Turns(demands, l.reserve(machines))
 	used := l.teamUse()
 	full := map[classKey]bool{}
@@ -58,6 +59,9 @@
 		}
 		want := min(len(d.Tasks), d.RoomInTeam)
 		placed := 0
+		if d.Service && d.AgeS > l.startAim(&l.jobs[d.Job].spec) {
+			placed = l.placeSome(all, d) // late as it is, it had better wait for the machine that suits
+		}
 		if d.Loose && d.Service && d.Rank == 0 {
 			placed = l.placeCached(machines, d, want)
 		}
@@ -74,12 +78,14 @@
 	}
 }
 
-// placeSome places what has room, takes it off the demand, and counts it.
+// placeSome places what has room, takes it off the demand, and counts it. What is
+// meant for a machine that still boots waits for it.
 func (l *lead) placeSome(machines []*scheduler.Machine, d *scheduler.Demand) int {
 	placed := scheduler.Place(machines, d)
-	l.assign(d, placed)
-	d.Tasks, d.RoomInTeam = d.Tasks[len(placed):], d.RoomInTeam-len(placed)
-	return len(placed)
+	n := len(placed)
+	l.assign(d, slices.DeleteFunc(placed, func(p scheduler.Assignment) bool { return p.Machine.Virtual }))
+	d.Tasks, d.RoomInTeam = d.Tasks[n:], d.RoomInTeam-n
+	return n
 }
 
 // placeCached places a service, whose image takes longer to fetch than its aim
@@ -139,7 +145,7 @@
 		if len(d.Tasks) == 0 {
 			continue
 		}
-		if d.Loose = l.fetchMatters(&j.spec); d.Loose {
+		if d.Loose = l.fetchMatters(&j.spec); d.Loose || d.Service {
 			d.Others = l.otherClasses(d.Class)
 		}
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,10 +159,10 @@
 // Turns orders demands so that nobody is starved: least work first would put off
 // the largest jobs for as long as smaller ones come. What has waited for too long
 // comes first, but takes no more than the reserve, in cores, that is left for
-// such work, or one task to begin with; the rest of it comes last.
+// such work, or one task to begin with; the rest of it keeps its place.
 func Turns(ds []*Demand, reserve float64) []*Demand {
-	Order(ds)
-	var first, last []*Demand
+	var out []*Demand
+	slices.SortStableFunc(ds, func(a, b *Demand) int { return cmp.Compare(b.turn(), a.turn()) })
 	for _, d := range ds {
 		n := len(d.Tasks)
 		if d.Waited && urgent(d) > 0 && !d.Gang && d.Each.CPUs > 0 {
@@ -172,14 +172,15 @@
 		if n < len(d.Tasks) {
 			rest := *d
 			rest.Tasks, rest.Waited = d.Tasks[n:], false
-			last = append(last, &rest)
+			out = append(out, &rest)
 			d.Tasks = d.Tasks[:n]
 		}
 		if n > 0 {
-			first = append(first, d)
+			out = append(out, d)
 		}
 	}
-	return append(first, last...)
+	Order(out)
+	return out
 }
 
 // Hold keeps machines free of other work until a demand that can't start
@@ -279,30 +280,30 @@
 
 func (d *Demand) candidate(m *Machine) candidate {
 	c := candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), 0}
-	if d.Loose {
-		c.crowded = d.crowds(m)
-	}
+	c.crowded = d.crowds(m)
 	return c
 }
 
-// prefer orders machines for one task. Alike otherwise, the fullest comes first,
-// so that empty ones can be returned; or, for a loose demand, the one where it
-// costs other classes least room, and of those the emptiest.
+// prefer orders machines for one task. Alike otherwise, the one comes first where
+// it costs other classes least room; of those the fullest, so that empty ones can
+// be returned, or for a loose demand the emptiest.
 func (d *Demand) prefer(a, b candidate) int {
-	c := cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary))
+	c := cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary),
+		cmp.Compare(a.crowded, b.crowded))
 	if d.Loose {
-		return cmp.Or(c, cmp.Compare(a.crowded, b.crowded), cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(c, cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
 	}
 	return cmp.Or(c, cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID))
 }
 
 // crowds counts the tasks of other classes that no longer fit on a machine once
 // it has one more of this demand: two small services side by side leave room
-// for one more large task than the same two on two machines.
+// for one more large task than the same two on two machines. Where the image is
+// missing it had better come to many machines, of a type that others can't use.
 func (d *Demand) crowds(m *Machine) int {
 	n := 0
-	if !m.Images[d.Image] {
-		return 0 // the image had better come to many machines
+	if d.Loose && !m.Images[d.Image] {
+		return flag(slices.ContainsFunc(d.Others, func(o Resources) bool { return m.Cap.Fits(o) > 0 }))
 	}
 	after := m.Free.Add(d.Each, -1)
 	for _, o := range d.Others {
