A late service's tasks are counted once a round

Cause: tasks that wait for a booting machine were counted again among those that need room now, and the round ended the process (slice bounds).

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -363,3 +363,36 @@
 		t.Fatal("refuses for ever")
 	}
 }
+
+// A late service waits for a machine that boots with as many tasks as fit there, and
+// stops lower work for the others: one round must not count a task twice.
+func TestLateServiceDividesItsTasks(t *testing.T) {
+	c, l, batch := leading(t)
+	c.cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 100, CPUsMax: 100}}
+	c.cfg.Facts.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 1}}
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, FetchGBps: 0.1, BootS: 20, Zones: []string{"a"}}})
+	up, boots := l.machine("i-1"), l.machine("i-2")
+	l.apply(up, &wire.Report{Machine: up.id, Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+	boots.typ, boots.zone = "t", "a"
+	for task := range 2 {
+		a := place(l, batch, task, up)
+		a.sent, a.seen = true, true
+	}
+	up.images["img"] = true
+	spec := wire.Job{ID: "req-000002", Class: "web", Team: "red", Kind: wire.KindService, Priority: "prod",
+		Tasks: 3, CPUs: 1, Image: "img", ImageGB: 1}
+	h := &headerRecord{Job: spec, PerChunk: 10, AcceptedMS: c.now.Add(-10 * time.Second).UnixMilli()}
+	l.addJob(spec.ID, h)
+	l.wantPlacement()
+	c.now = l.placeAt
+	l.place()
+	stopping := 0
+	for _, a := range up.list {
+		if a.stopping {
+			stopping++
+		}
+	}
+	if stopping != 1 {
+		t.Fatalf("%d tasks stop for the one that has no room on the booting machine", stopping)
+	}
+}
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -63,7 +63,7 @@
 			placed = l.placeSome(all, d) // late as it is, it had better wait for the machine that suits
 		}
 		if d.Loose && d.Service && d.Rank == 0 {
-			placed = l.placeCached(machines, d, want)
+			placed += l.placeCached(machines, d, want-placed)
 		}
 		placed += l.placeSome(machines, d)
 		used[d.Team] = used[d.Team].Add(d.Each, float64(placed))
