--- a/controller/core.go
+++ b/controller/core.go
@@ -77,7 +77,7 @@
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
 		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
-		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*0.3*share), max(2, int(st.WriteRPS*0.3*share))),
+		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*0.45*share), max(2, int(st.WriteRPS*0.4*share))),
 		types:       map[string]wire.MachineType{},
 		progress:    map[string]jobCount{},
 		hints:       map[string]*mesh.Hint{},
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -292,7 +292,7 @@
 		}
 		d := demandOf(&p.spec)
 		d.Job, d.Zone, d.OneZone, d.Spread, d.Gang = "headroom/"+class, "", false, false, false
-		d.Total, d.RoomInTeam, d.AgeS = n, n, -1
+		d.Total, d.RoomInTeam, d.AgeS, d.Others = n, n, -1, l.otherClasses(class)
 		d.Tasks = make([]int, n)
 		ds = append(ds, d)
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -136,7 +136,7 @@
 	l := &lead{
 		c: c, token: token, first: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
-		writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.6), max(2, int(st.WriteRPS*0.4))),
+		writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.5), max(2, int(st.WriteRPS*0.4))),
 		sought: map[string]time.Time{}, told: map[string]jobCount{}, bumpedAt: c.now,
 	}
 	l.fleet.init()
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -59,8 +59,8 @@
 		}
 		want := min(len(d.Tasks), d.RoomInTeam)
 		placed := 0
-		if d.Service && d.AgeS > l.startAim(&l.jobs[d.Job].spec) {
-			placed = l.placeSome(all, d) // late as it is, it had better wait for the machine that suits
+		if d.Patient {
+			placed = l.placeSome(all, d) // it had better wait for a machine that suits
 		}
 		if d.Loose && d.Service && d.Rank == 0 {
 			placed += l.placeCached(machines, d, want-placed)
@@ -148,6 +148,7 @@
 		if d.Loose = l.fetchMatters(&j.spec); d.Loose || d.Service {
 			d.Others = l.otherClasses(d.Class)
 		}
+		d.Patient = d.Service && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
 		d.Begun, d.Waited = j.begun, l.waited(j, d)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -92,6 +92,7 @@
 	Rank             int
 	Service          bool
 	Gang             bool           // all tasks at once or none
+	Patient          bool           // too late for its aim on starting: what suits others counts before speed
 	Loose            bool           // emptiest machines first, to have images in many places
 	Others           []Resources    // what tasks of other classes take
 	Within           bool           // within its team's guarantee
@@ -288,7 +289,11 @@
 // it costs other classes least room; of those the fullest, so that empty ones can
 // be returned, or for a loose demand the emptiest.
 func (d *Demand) prefer(a, b candidate) int {
-	c := cmp.Or(cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary),
+	c := cmp.Compare(a.Penalty, b.Penalty)
+	if d.Patient {
+		c = cmp.Or(c, cmp.Compare(a.crowded, b.crowded))
+	}
+	c = cmp.Or(c, cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary),
 		cmp.Compare(a.crowded, b.crowded))
 	if d.Loose {
 		return cmp.Or(c, cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
@@ -302,8 +307,8 @@
 // missing it had better come to many machines, of a type that others can't use.
 func (d *Demand) crowds(m *Machine) int {
 	n := 0
-	if d.Loose && !m.Images[d.Image] {
-		return flag(slices.ContainsFunc(d.Others, func(o Resources) bool { return m.Cap.Fits(o) > 0 }))
+	if d.Patient || d.Loose && !m.Images[d.Image] {
+		return flag(d.suitsOthers(m.Cap))
 	}
 	after := m.Free.Add(d.Each, -1)
 	for _, o := range d.Others {
@@ -312,6 +317,11 @@
 	return n
 }
 
+// suitsOthers tells whether a machine of that size takes tasks of other classes.
+func (d *Demand) suitsOthers(size Resources) bool {
+	return slices.ContainsFunc(d.Others, func(o Resources) bool { return size.Fits(o) > 0 })
+}
+
 // ranking is a heap of candidates, the preferred one on top.
 type ranking struct {
 	d  *Demand
@@ -353,17 +363,30 @@
 	return out
 }
 
-// slots counts how many tasks fit on machines, and how many of them where the
-// image is cached.
-func slots(machines []*Machine, d *Demand, want int) (cached, all int) {
+// room is how many tasks fit on some machines.
+type room struct {
+	apart  int // where no other class could use the room, and the image is or need not be
+	cached int // where the image is
+	all    int
+}
+
+func (d *Demand) room(machines []*Machine, want int) room {
+	var r room
 	for _, m := range machines {
 		n := m.Free.Fits(d.Each)
-		all += n
-		if m.Images[d.Image] && m.Penalty == 0 {
-			cached += n
+		r.all += n
+		if m.Penalty > 0 {
+			continue
+		}
+		if m.Images[d.Image] {
+			r.cached += n
+		}
+		if len(d.Others) > 0 && (d.Patient || m.Images[d.Image]) && !d.suitsOthers(m.Cap) {
+			r.apart += n
 		}
 	}
-	return min(cached, want), all
+	r.apart, r.cached = min(r.apart, want), min(r.cached, want)
+	return r
 }
 
 // roomiest returns the machines of the part with most room, or nil where the
@@ -374,14 +397,15 @@
 		parts[m.Part] = append(parts[m.Part], m)
 	}
 	var best []*Machine
-	bestName, bestCached, bestAll := "", -1, -1
+	bestName, most := "", room{-1, -1, -1}
 	for name, ms := range parts {
-		cached, all := slots(ms, d, want)
-		if all < want {
+		r := d.room(ms, want)
+		if r.all < want {
 			continue
 		}
-		if cmp.Or(cmp.Compare(cached, bestCached), cmp.Compare(all, bestAll), cmp.Compare(bestName, name)) > 0 {
-			best, bestName, bestCached, bestAll = ms, name, cached, all
+		if cmp.Or(cmp.Compare(r.apart, most.apart), cmp.Compare(r.cached, most.cached), cmp.Compare(r.all, most.all),
+			cmp.Compare(bestName, name)) > 0 {
+			best, bestName, most = ms, name, r
 		}
 	}
 	return best
@@ -397,7 +421,7 @@
 	var best []*Machine
 	bestName, most := "", -1
 	for name, ms := range zones {
-		_, all := slots(ms, d, want)
+		all := d.room(ms, want).all
 		if all > most || all == most && name < bestName {
 			best, bestName, most = ms, name, all
 		}
