--- a/config/config.go
+++ b/config/config.go
@@ -84,11 +84,12 @@
 	Headroom     float64 `hcl:"headroom,optional"`
 	HeadroomMost float64 `hcl:"headroom_most,optional"`
 	Surge        float64 `hcl:"surge,optional"`
+	SurgeBatch   float64 `hcl:"surge_batch,optional"`
 }
 
 // DefaultOperator are the settings where the file says nothing.
 func DefaultOperator() Operator {
-	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5, Surge: 3}
+	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5, Surge: 3, SurgeBatch: 0.5}
 }
 
 // LeaderLifetime is the life of the leader's lease.
@@ -180,6 +181,7 @@
 		{"headroom", o.Headroom, 0, 10},
 		{"headroom_most", o.HeadroomMost, 0, 10},
 		{"surge", o.Surge, 0, 100},
+		{"surge_batch", o.SurgeBatch, 0, 100},
 	})
 }
 
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -286,7 +286,7 @@
 	var ds []*scheduler.Demand
 	for _, class := range slices.Sorted(maps.Keys(l.fleet.peaks)) {
 		p := l.fleet.peaks[class]
-		n := int(math.Ceil(math.Min(p.tasks*l.headroomShare(&p.spec), l.surge(class))))
+		n := int(math.Ceil(math.Min(p.tasks*l.headroomShare(&p.spec), l.surge(&p.spec))))
 		if n == 0 {
 			continue
 		}
@@ -334,18 +334,22 @@
 // a machine boots. Jobs come one by one and bring all their tasks at once, so the
 // variance is that of the sum of their sizes: many small jobs need far less room
 // in proportion than few large ones.
-func (l *lead) surge(class string) float64 {
+func (l *lead) surge(j *wire.Job) float64 {
 	l.arrivals = slices.DeleteFunc(l.arrivals, func(a arrival) bool { return l.c.now.Sub(a.at) > surgeWindow })
 	boot, squares := 0.0, 0.0
 	for _, t := range l.c.types {
 		boot = math.Max(boot, t.BootS)
 	}
 	for _, a := range l.arrivals {
-		if a.class == class {
+		if a.class == j.Class {
 			squares += float64(a.tasks) * float64(a.tasks)
 		}
 	}
-	return l.c.op.Surge * math.Sqrt(squares*boot/surgeWindow.Seconds())
+	deviations := l.c.op.Surge
+	if j.Kind != wire.KindService {
+		deviations = l.c.op.SurgeBatch
+	}
+	return deviations * math.Sqrt(squares*boot/surgeWindow.Seconds())
 }
 
 // headroomShare weighs boot time against the tightest aim on starting: where a
--- a/deploy/pumicefront.hcl
+++ b/deploy/pumicefront.hcl
@@ -5,3 +5,4 @@
 headroom      = 0.1
 headroom_most = 1.5
 surge         = 3
+surge_batch   = 0.5
