--- a/client/client.go
+++ b/client/client.go
@@ -21,24 +21,36 @@
 // Client calls the services at fixed addresses and workers at any.
 type Client struct {
 	state, cloud string
-	http         *http.Client
+	services     *http.Client
+	workers      *http.Client
+	calling      chan struct{} // one for each call of a worker under way
 }
 
-// New returns a client; conns bounds the idle connections that it keeps.
+// New returns a client; conns bounds the connections to workers. A new leader
+// asks every machine at once: without a bound it would have no socket left for
+// the state service, whose connections are kept apart for the same reason.
 func New(state, cloud string, conns int) *Client {
-	return &Client{state: "http://" + state, cloud: "http://" + cloud, http: &http.Client{
+	return &Client{
+		state: "http://" + state, cloud: "http://" + cloud,
+		services: pool(32), workers: pool(conns), calling: make(chan struct{}, conns),
+	}
+}
+
+// pool returns a client that keeps up to conns idle connections.
+func pool(conns int) *http.Client {
+	return &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConns: conns, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
 			DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // do sends one request and returns the status and body. The body of a request
 // can't be rewound, so that net/http never sends a second copy on its own:
 // a copy that the core doesn't know of could run after it was given up.
-func (c *Client) do(timeout time.Duration, method, target string, body any) (int, []byte, error) {
+func do(by *http.Client, timeout time.Duration, method, target string, body any) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var reader io.Reader
@@ -53,7 +65,7 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/cbor")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := by.Do(req)
 	if err != nil {
 		return 0, nil, fmt.Errorf("call: %w", err)
 	}
@@ -96,13 +108,13 @@
 		into = &reply.Watch
 	}
 	// A refused transaction tells what failed in the same form.
-	reply.Status = c.fetch(call.Timeout, method, target, body, into, call.Op == controller.OpTxn)
+	reply.Status = fetch(c.services, call.Timeout, method, target, body, into, call.Op == controller.OpTxn)
 	return reply
 }
 
 // fetch calls and decodes the answer into into; status 0 stands for none.
-func (c *Client) fetch(timeout time.Duration, method, target string, body, into any, always bool) int {
-	status, raw, err := c.do(timeout, method, target, body)
+func fetch(by *http.Client, timeout time.Duration, method, target string, body, into any, always bool) int {
+	status, raw, err := do(by, timeout, method, target, body)
 	if err != nil {
 		return 0
 	}
@@ -136,13 +148,15 @@
 	case controller.CloudRelease:
 		method, target, body = http.MethodPost, target+wire.PathRelease, wire.Names{Machines: call.Names}
 	}
-	reply.Status = c.fetch(call.Timeout, method, target, body, into, false)
+	reply.Status = fetch(c.services, call.Timeout, method, target, body, into, false)
 	return reply
 }
 
 // Worker sends direct commands of the core to a worker.
 func (c *Client) Worker(cmd controller.WorkerCall) controller.WorkerReply {
+	c.calling <- struct{}{}
+	defer func() { <-c.calling }()
 	reply := controller.WorkerReply{ID: cmd.ID, Machine: cmd.Machine}
-	reply.Status = c.fetch(cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands, &reply.Report, true)
+	reply.Status = fetch(c.workers, cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands, &reply.Report, true)
 	return reply
 }
