--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -148,7 +148,7 @@
 		if d.Loose = l.fetchMatters(&j.spec); d.Loose || d.Service {
 			d.Others = l.otherClasses(d.Class)
 		}
-		d.Patient = d.Service && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
+		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
 		d.Begun, d.Waited = j.begun, l.waited(j, d)
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -45,10 +45,11 @@
 				wants = append(wants, Want{*best, 1})
 			}
 		}
-		if d.Service && len(d.Others) > 0 {
+		shared := func(o Offer) bool { return d.suitsOthers(o.Cap) }
+		if APART {
 			// Replicas stay for long: first what no other class could use.
 			left -= d.placeMore(slices.DeleteFunc(slices.Clone(machines), func(m *Machine) bool { return d.suitsOthers(m.Cap) }))
-			rent(slices.DeleteFunc(slices.Clone(offers), func(o Offer) bool { return d.suitsOthers(o.Cap) }))
+			rent(slices.DeleteFunc(slices.Clone(offers), shared))
 		}
 		left -= d.placeMore(machines)
 		rent(offers)
