--- a/config/config.go
+++ b/config/config.go
@@ -89,7 +89,7 @@
 
 // DefaultOperator are the settings where the file says nothing.
 func DefaultOperator() Operator {
-	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5, Surge: 2, SurgeBatch: 0.5}
+	return Operator{LeaderLife: "1.4s", SilentShare: 0.25, IdleS: 15, Headroom: 0.1, HeadroomMost: 1.5, Surge: 2, SurgeBatch: 1}
 }
 
 // LeaderLifetime is the life of the leader's lease.
--- a/deploy/pumicefront.hcl
+++ b/deploy/pumicefront.hcl
@@ -5,4 +5,4 @@
 headroom      = 0.1
 headroom_most = 1.5
 surge         = 2
-surge_batch   = 0.5
+surge_batch   = 1
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"cmp"
-	"slices"
-)
+import "cmp"
 
 // Offer is a kind of machine that can be rented.
 type Offer struct {
@@ -27,32 +24,22 @@
 	kinds := map[Offer]bool{}
 	Order(demands)
 	for _, d := range demands {
-		left := min(len(d.Tasks), d.RoomInTeam)
-		rent := func(offers []Offer) {
-			for left > 0 {
-				best := cheapest(offers, d, left)
-				if best == nil || !kinds[*best] && len(kinds) == most {
-					return
-				}
-				m := &Machine{ID: "wanted", Type: best.Type, Zone: best.Zone, Spot: best.Spot, Cap: best.Cap, Free: best.Cap, Virtual: true}
-				for left > 0 && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 {
-					m.Free = m.Free.Add(d.Each, -1)
-					d.InZone[m.Zone]++
-					left--
-				}
-				machines = append(machines, m)
-				kinds[*best] = true
-				wants = append(wants, Want{*best, 1})
+		left := min(len(d.Tasks), d.RoomInTeam) - len(Place(machines, d))
+		for left > 0 {
+			best := cheapest(offers, d, left)
+			if best == nil || !kinds[*best] && len(kinds) == most {
+				break
 			}
+			m := &Machine{ID: "wanted", Type: best.Type, Zone: best.Zone, Spot: best.Spot, Cap: best.Cap, Free: best.Cap, Virtual: true}
+			for left > 0 && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.Each) > 0 {
+				m.Free = m.Free.Add(d.Each, -1)
+				d.InZone[m.Zone]++
+				left--
+			}
+			machines = append(machines, m)
+			kinds[*best] = true
+			wants = append(wants, Want{*best, 1})
 		}
-		shared := func(o Offer) bool { return d.suitsOthers(o.Cap) }
-		if APART {
-			// Replicas stay for long: first what no other class could use.
-			left -= d.placeMore(slices.DeleteFunc(slices.Clone(machines), func(m *Machine) bool { return d.suitsOthers(m.Cap) }))
-			rent(slices.DeleteFunc(slices.Clone(offers), shared))
-		}
-		left -= d.placeMore(machines)
-		rent(offers)
 	}
 	return merge(wants)
 }
@@ -79,13 +66,6 @@
 	return best
 }
 
-// placeMore places what it can of a demand and takes it off the demand.
-func (d *Demand) placeMore(machines []*Machine) int {
-	n := len(Place(machines, d))
-	d.Tasks, d.RoomInTeam = d.Tasks[n:], d.RoomInTeam-n
-	return n
-}
-
 func merge(wants []Want) []Want {
 	var out []Want
 next:
