Share the sockets for more machines than there are sockets to hold

Three quarters now serve users and workers, an eighth is for calls of workers, the rest for the services; when five sixths of the first are in use, workers close after each report and come back for the next. A test plays the count.

--- a/server/server.go
+++ b/server/server.go
@@ -46,6 +46,23 @@
 	inputs chan controller.Input
 	asked  chan request
 	nextID atomic.Uint64
+	open   atomic.Int64 // connections of users and workers
+}
+
+// How the sockets are shared: most for users and workers, some for calls of
+// workers, the rest for the state service, the cloud, the other controllers and
+// connections that wait to be accepted.
+func (s *Server) maxOpen() int  { return s.cfg.Facts.Resources.MaxConnections * 3 / 4 }
+func (s *Server) crowded() bool { return s.open.Load() > int64(s.maxOpen()*5/6) }
+
+// count follows the number of open connections.
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
 }
 
 // request is an input that waits for an answer.
@@ -61,7 +78,7 @@
 	return &Server{
 		cfg:    cfg,
 		core:   controller.New(cfg, op, rng, time.Now()),
-		client: client.New(cfg.External.State, cfg.External.Cloud, cfg.Facts.Resources.MaxConnections/4),
+		client: client.New(cfg.External.State, cfg.External.Cloud, cfg.Facts.Resources.MaxConnections/8),
 		inputs: make(chan controller.Input, queueLen),
 		asked:  make(chan request, queueLen),
 	}
@@ -87,11 +104,11 @@
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10, ConnState: s.count}
 	failed := make(chan error, 1)
 	// Beyond the limit connections wait unaccepted, and the load balancer tries
 	// another controller; the rest of the sockets is for the core's own calls.
-	ln = netutil.LimitListener(ln, s.cfg.Facts.Resources.MaxConnections*2/3)
+	ln = netutil.LimitListener(ln, s.maxOpen())
 	go func() { failed <- h.Serve(ln) }()
 	go s.loop(ctx)
 	slog.Info("serving", "member", s.cfg.Member, "addr", s.cfg.Listen)
@@ -184,6 +201,10 @@
 	defer timer.Stop()
 	select {
 	case a := <-reply:
+		if _, report := in.(controller.ReportRequest); report && s.crowded() {
+			// There may be more workers than sockets: none keeps one between reports.
+			w.Header().Set("Connection", "close")
+		}
 		respond(w, a)
 	case <-timer.C:
 		respond(w, overloaded())
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"pumicefront/config"
 	"pumicefront/controller"
 	"pumicefront/wire"
 )
@@ -79,3 +80,37 @@
 		t.Error("an address of another machine is taken")
 	}
 }
+
+// Where workers come close to using up the sockets, they are not left to hold them
+// between reports; users keep theirs.
+func TestCrowdedWorkersGiveTheirSocketsBack(t *testing.T) {
+	cfg := &config.Platform{}
+	cfg.Facts.Resources.MaxConnections = 40
+	s := &Server{cfg: cfg, asked: make(chan request, 1)}
+	ask := func(path string, body []byte) string {
+		go func() {
+			r := <-s.asked
+			r.reply <- controller.Answer{Status: http.StatusOK, Body: struct{}{}}
+		}()
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest("POST", path, bytes.NewReader(body)))
+		return w.Header().Get("Connection")
+	}
+	report := wire.Marshal(wire.Report{Machine: "i-1"})
+	if got := ask("/v1/report", report); got != "" {
+		t.Errorf("connection %q though there are sockets", got)
+	}
+	for range s.maxOpen() {
+		s.count(nil, http.StateNew)
+	}
+	if got := ask("/v1/report", report); got != "close" {
+		t.Errorf("connection %q for a worker where it is crowded", got)
+	}
+	if got := ask("/v2/runs", []byte("x")); got != "" {
+		t.Errorf("connection %q for a user", got)
+	}
+	s.count(nil, http.StateClosed)
+	if s.open.Load() != int64(s.maxOpen()-1) {
+		t.Errorf("%d connections open", s.open.Load())
+	}
+}
