A machine that counts anew is released; nothing it says is relied on

From a reading: after its numbers were taken as they are now, a late copy from before would have passed for newer and proved attempts gone that run.

--- a/controller/machines.go
+++ b/controller/machines.go
@@ -405,7 +405,11 @@
 		}
 		m.missed, m.probeAt = time.Time{}, time.Time{}
 		if !r.Report.Newer(session, seq) {
-			l.restarted(m)
+			// Older than what the machine had said before it was asked: it has begun to
+			// count again. Late copies from before would pass for newer than all that
+			// it says now, so nothing it says can be relied on; its release can.
+			l.release(m, "has begun again")
+			return
 		}
 		l.apply(m, &r.Report)
 		if r.Status == http.StatusConflict && r.Report.Token <= l.token {
@@ -426,16 +430,6 @@
 	m.probeAt = l.c.now.Add(pause)
 }
 
-// restarted takes in that a machine's own answer is older than what it had said
-// before it was asked: it has begun again, with nothing on it. Copies of runs
-// that match its stint may still be on their way, so nothing is gone yet; a
-// raised token fences them.
-func (l *lead) restarted(m *machine) {
-	l.c.log(slog.LevelInfo, "machine has begun again", "machine", m.id)
-	m.session, m.seq, m.token = 0, 0, 0
-	l.raiseToken("machine has begun again")
-}
-
 // leaseEnd is when a machine's lease has run out for sure, by our clock.
 func (l *lead) leaseEnd(m *machine) time.Time {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS * (1 + 2*clockDrift))
