--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -151,7 +151,7 @@
 		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
 		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
-		d.Begun, d.Waited = j.begun, l.waited(j, d)
+		d.Begun, d.Waited = j.begun, l.waited(j)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
@@ -164,15 +164,15 @@
 // begin within four minutes, and smaller ones never stop coming.
 const (
 	beginAfter = 80 * time.Second  // nothing of the job has run
-	serveAfter = 120 * time.Second // no aim on finishing is left that it could meet
+	serveAfter = 120 * time.Second // not all of it has
 )
 
 // reserveShare is the part of all cores that may be taken by what has waited.
 const reserveShare = 1.0 / 8
 
-func (l *lead) waited(j *job, d *scheduler.Demand) bool {
+func (l *lead) waited(j *job) bool {
 	age := l.c.now.Sub(j.accepted)
-	return !j.begun && age > beginAfter || age > serveAfter && d.Late >= l.finishAims(j)
+	return !j.begun && age > beginAfter || age > serveAfter
 }
 
 // reserve is what is left of the cores kept for work that has waited.
@@ -189,17 +189,6 @@
 	return max(cores, 0)
 }
 
-// finishAims counts the aims on finishing that there are for a job.
-func (l *lead) finishAims(j *job) int {
-	n := 0
-	for _, o := range l.c.cfg.Facts.Objectives {
-		if o.Kind == "finished" && o.Class == j.spec.Class {
-			n++
-		}
-	}
-	return n
-}
-
 // missed counts the aims on finishing that a job can't meet any more. One that has
 // waited out several times the last of them, or has lost work to a failure, is
 // not passed over.
