--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -136,6 +136,7 @@
 	m := l.machine("i-1")
 	place(l, j, 0, m).recorded = false
 	j.touch(0, c.now)
+	j.pressing = true // as a placement's write is
 	l.writes = rate.NewLimiter(1, 1)
 	l.writes.AllowN(c.now, 1)
 	l.flush()
