--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -301,11 +301,14 @@
 		}
 		return a.dirtyAt.Compare(b.dirtyAt)
 	})
-	const pause = 20 * time.Millisecond
+	wait := func() {
+		const pause = 20 * time.Millisecond
+		l.flushAt = l.c.now.Add(pause)
+		l.c.after(pause, func() {})
+	}
 	for _, j := range due {
 		if l.writes.TokensAt(l.c.now) < 1 { // before anything is encoded in vain
-			l.flushAt = l.c.now.Add(pause)
-			l.c.after(pause, func() {})
+			wait()
 			return
 		}
 		w := l.compose(j)
@@ -314,8 +317,7 @@
 		}
 		if !l.writes.AllowN(l.c.now, min(len(w.txn.Then), l.writes.Burst())) {
 			j.undo(w) // what compose took must stay dirty, or it is never written
-			l.flushAt = l.c.now.Add(pause)
-			l.c.after(pause, func() {})
+			wait()
 			return
 		}
 		j.pressing = false
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -31,9 +31,8 @@
 	toSend     []*machine // that commands may wait for
 	provedAt   time.Time
 	scratch    []scheduler.Machine // reused by every view
-	shares     map[*job]bool       // see borrowed
-	sharesAt   time.Time
-	flushAt    time.Time // no write before: the budget is used up
+	sharesAt   time.Time           // see dealShares
+	flushAt    time.Time           // no write before: the budget is used up
 	released   map[string]time.Time
 	orphans    []string // task records whose job is over
 	writes     *rate.Limiter
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -127,7 +127,7 @@
 // demands lists the frontiers of all jobs.
 func (l *lead) demands() []*scheduler.Demand {
 	var ds []*scheduler.Demand
-	borrowed := l.borrowed()
+	l.dealShares()
 	for _, j := range l.order {
 		if j.cancelled || j.state.Count(reduction.Pending) == 0 {
 			continue
@@ -149,7 +149,7 @@
 			d.Others = l.otherClasses(d.Class)
 		}
 		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
-		d.Within, d.AgeS, d.Avoid = !borrowed[j], l.c.now.Sub(j.accepted).Seconds(), j.avoid
+		d.Within, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
 		d.Begun, d.Waited = j.begun, l.waited(j)
 		for _, a := range j.attempts {
@@ -299,7 +299,7 @@
 // are not up yet count too. The picture may be changed; it lasts until the next
 // view. Only machines that have changed since are drawn anew.
 func (l *lead) view(booting bool) []*scheduler.Machine {
-	l.borrowed()
+	l.dealShares()
 	if cap(l.scratch) < len(l.fleetOrder) {
 		l.scratch = make([]scheduler.Machine, 0, len(l.fleetOrder)+len(l.fleetOrder)/4)
 	}
@@ -368,14 +368,13 @@
 // sharesEvery is how often the guarantees are dealt out anew where no job has come.
 const sharesEvery = 250 * time.Millisecond
 
-// borrowed lists the jobs beyond their team's guarantee. Which of its jobs a team's
+// dealShares marks the jobs beyond their team's guarantee. Which of its jobs a team's
 // guarantee goes to follows the order in which they are served.
-func (l *lead) borrowed() map[*job]bool {
+func (l *lead) dealShares() {
 	if l.c.now.Sub(l.sharesAt) < sharesEvery {
-		return l.shares
+		return
 	}
 	l.sharesAt = l.c.now
-	out := map[*job]bool{}
 	earlier := map[string]scheduler.Resources{}
 	type ranked struct {
 		*job
@@ -393,12 +392,7 @@
 	})
 	for _, r := range order {
 		r.job.terms.Borrowed = !l.within(r.job, earlier)
-		if r.job.terms.Borrowed {
-			out[r.job] = true
-		}
 	}
-	l.shares = out
-	return out
 }
 
 // assign plans attempts. The tasks of a gang carry the same attempt number:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -280,9 +280,7 @@
 }
 
 func (d *Demand) candidate(m *Machine) candidate {
-	c := candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), 0}
-	c.crowded = d.crowds(m)
-	return c
+	return candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), d.crowds(m)}
 }
 
 // prefer orders machines for one task. Alike otherwise, the one comes first where
