Standing still: silence counts while we listen, calls and answers ask again when they go

Cause, from a reading: a process that stands still while its clocks run on finds every machine silent and every command unanswered. A leader whose lease an outage has kept would have released all machines that run no replica (3 leases of silence, no look at the cut). Calls that wait for their place and answers that wait to be written went out whatever had become of the authority.

Changed: silence counts from when the leader has listened without a pause; calls of workers and the cloud ask for authority when they are sent; an answer older than two seconds is not given; queues hold what all connections can ask; whether most machines have found a new leader is counted once, not for every machine.

--- a/client/client.go
+++ b/client/client.go
@@ -24,14 +24,19 @@
 	services     *http.Client
 	workers      *http.Client
 	calling      chan struct{} // one for each call of a worker under way
+	entitled     func() bool   // whether the core may act for the controllers now
 }
 
 // New returns a client; conns bounds the connections to workers. A new leader
 // asks every machine at once: without a bound it would have no socket left for
 // the state service, whose connections are kept apart for the same reason.
-func New(state, cloud string, conns int) *Client {
+//
+// Only a leader calls workers and the cloud. The core has asked for its authority
+// when it decided on a call, but the process may have stood still since, or the call
+// has waited for its place: entitled is asked again, and what is too late is not sent.
+func New(state, cloud string, conns int, entitled func() bool) *Client {
 	return &Client{
-		state: "http://" + state, cloud: "http://" + cloud,
+		state: "http://" + state, cloud: "http://" + cloud, entitled: entitled,
 		services: pool(32), workers: pool(conns), calling: make(chan struct{}, conns),
 	}
 }
@@ -130,6 +135,9 @@
 // Cloud makes a call of the core to the cloud.
 func (c *Client) Cloud(call controller.CloudCall) controller.CloudReply {
 	reply := controller.CloudReply{ID: call.ID}
+	if !c.entitled() {
+		return reply
+	}
 	var into any
 	method, target, body := http.MethodGet, c.cloud, any(nil)
 	switch call.Op {
@@ -157,6 +165,9 @@
 	c.calling <- struct{}{}
 	defer func() { <-c.calling }()
 	reply := controller.WorkerReply{ID: cmd.ID, Machine: cmd.Machine}
+	if !c.entitled() {
+		return reply
+	}
 	reply.Status = fetch(c.workers, cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands, &reply.Report, true)
 	return reply
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -39,7 +39,7 @@
 	}))
 	defer state.Close()
 	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
-	c := New(addr(state), "127.0.0.1:1", most)
+	c := New(addr(state), "127.0.0.1:1", most, func() bool { return true })
 	var done sync.WaitGroup
 	for range calls {
 		done.Go(func() {
@@ -59,3 +59,28 @@
 		t.Errorf("%d calls at once, at most %d", peak.Load(), most)
 	}
 }
+
+// A process may stand still between a decision and the call that follows from it. By
+// then another may lead: nothing is sent to a worker or the cloud.
+func TestNothingIsSentWithoutAuthority(t *testing.T) {
+	var calls atomic.Int64
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Write(wire.Marshal(struct{}{}))
+	}))
+	defer service.Close()
+	addr := strings.TrimPrefix(service.URL, "http://")
+	may := false
+	c := New(addr, addr, 4, func() bool { return may })
+	both := func() (int, int) {
+		return c.Worker(controller.WorkerCall{Addr: addr, Timeout: time.Minute}).Status,
+			c.Cloud(controller.CloudCall{Op: controller.CloudRelease, Timeout: time.Minute}).Status
+	}
+	if w, k := both(); w != 0 || k != 0 || calls.Load() != 0 {
+		t.Errorf("status %d and %d, %d calls without authority", w, k, calls.Load())
+	}
+	may = true
+	if w, k := both(); w != http.StatusOK || k != http.StatusOK || calls.Load() != 2 {
+		t.Errorf("status %d and %d, %d calls with authority", w, k, calls.Load())
+	}
+}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -427,3 +427,48 @@
 		t.Errorf("%d pictures to be drawn anew", anew)
 	}
 }
+
+// A leader that stood still while its clocks ran on, in an outage that kept its lease,
+// finds all machines silent and its commands unanswered. That says nothing of them:
+// machines are not released, and not refused work, for what was not listened to.
+func TestStandingStillIsNoSilence(t *testing.T) {
+	c, l, _ := leading(t)
+	c.op.IdleS = 3600 // none is returned as idle
+	for i := range 20 {
+		id := fmt.Sprintf("i-%02d", i)
+		l.apply(l.machine(id), &wire.Report{Machine: id, Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+	}
+	c.types["t"] = wire.MachineType{Name: "t", CPUs: 4, BootS: 5}
+	step := func(d time.Duration) {
+		c.now = c.now.Add(d)
+		l.authority = c.now.Add(time.Second)
+		l.fleet.lookedAt = time.Time{}
+		l.run()
+	}
+	releasing := func() int {
+		n := 0
+		for _, m := range l.machines {
+			if m.releasing {
+				n++
+			}
+		}
+		return n
+	}
+	step(0)
+	sent := c.now
+	step(2 * time.Minute)
+	l.noAnswer(l.machines["i-00"], sent) // its answer was there, but too late to be read
+	step(time.Millisecond)
+	if n := releasing(); n > 0 {
+		t.Fatalf("%d machines released after standing still", n)
+	}
+	if !l.usable(l.machines["i-01"]) && !l.machines["i-01"].leaseOut {
+		t.Fatal("a machine that was not listened to is taken for silent")
+	}
+	for range 200 {
+		step(250 * time.Millisecond)
+	}
+	if n := releasing(); n == 0 {
+		t.Fatal("machines that stay silent are never released")
+	}
+}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -30,6 +30,8 @@
 	fleetOrder []*machine // the same by name
 	toSend     []*machine // that commands may wait for
 	provedAt   time.Time
+	listening  time.Time           // without a pause since, see listen
+	listened   time.Time           // when the machines were looked at last
 	scratch    []scheduler.Machine // reused by every view
 	sharesAt   time.Time           // see dealShares
 	flushAt    time.Time           // no write before: the budget is used up
@@ -59,7 +61,19 @@
 // entitled tells whether this controller may act for the controllers now. It is
 // asked at every output of the leader.
 func (c *Core) entitled() bool {
-	return c.lead != nil && (c.now.Before(c.lead.authority) || c.promised())
+	return c.now.Before(c.Authority())
+}
+
+// Authority returns until when this controller may act for the controllers, as far
+// as is known now. The shell asks again before it sends what had to wait.
+func (c *Core) Authority() time.Time {
+	switch {
+	case c.lead == nil:
+		return time.Time{}
+	case c.promises.ride.After(c.lead.authority):
+		return c.promises.ride
+	}
+	return c.lead.authority
 }
 
 // leaderName returns who leads as far as known, or "".
@@ -277,6 +291,7 @@
 	if !l.recovered {
 		return
 	}
+	l.listen()
 	l.prove()
 	l.place()
 	l.flush()
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -42,9 +42,6 @@
 	granted map[string]bool
 }
 
-// promised tells whether promises carry the leader's authority now.
-func (c *Core) promised() bool { return c.now.Before(c.promises.ride) }
-
 // promiseBinds tells whether a promise forbids a claim. A process that has just
 // started doesn't know what the one before it promised, so it waits a promise's
 // life, unless nobody has ever led. A leader key that names this member is no
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -18,14 +18,15 @@
 		}
 		return canMove(m, elsewhere)
 	}
+	found := l.mostFound()
 	for _, m := range l.fleetOrder {
-		silence := l.c.now.Sub(m.reported)
+		silence := l.silence(m)
 		switch {
 		case m.releasing:
 		case !m.up:
 			if l.bootedTooLong(m) {
 				l.release(m, "never came up")
-			} else if l.unheard(m) && len(m.attempts) > 0 && canMove(m) {
+			} else if found && len(m.attempts) > 0 && canMove(m) {
 				l.release(m, "silent since the election")
 			}
 		case faulty(m) && len(m.attempts) == 0:
@@ -38,6 +39,31 @@
 	}
 }
 
+// listenGap is how long a leader that listens may go without a look at its machines:
+// there is a tick several times as often.
+const listenGap = time.Second
+
+// listen notes since when this leader has heard its machines without a pause. A
+// process that stood still while its clocks ran on, or had no authority to answer,
+// finds all of them silent at once; that says nothing of them.
+func (l *lead) listen() {
+	if l.c.now.Sub(l.listened) > listenGap {
+		l.listening = l.c.now
+	}
+	l.listened = l.c.now
+}
+
+// since is how much of the time since then we have listened for.
+func (l *lead) since(then time.Time) time.Duration {
+	if then.Before(l.listening) {
+		then = l.listening
+	}
+	return l.c.now.Sub(then)
+}
+
+// silence is how long a machine has not been heard of.
+func (l *lead) silence(m *machine) time.Duration { return l.since(m.reported) }
+
 // reportDue is how long after a report the next one should have come, with slack.
 func (l *lead) reportDue(slack time.Duration) time.Duration {
 	return config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25) + slack
@@ -45,13 +71,13 @@
 
 // late tells whether a machine's report is overdue.
 func (l *lead) late(m *machine) bool {
-	return l.c.now.Sub(m.reported) > l.reportDue(250*time.Millisecond)
+	return l.silence(m) > l.reportDue(250*time.Millisecond)
 }
 
 // silent tells whether a machine has not been heard of for too long to be given
 // new work.
 func (l *lead) silent(m *machine) bool {
-	return l.c.now.Sub(m.reported) > l.reportDue(time.Second)
+	return l.silence(m) > l.reportDue(time.Second)
 }
 
 // deafFor is how long a machine has not answered commands, whatever it reports.
@@ -59,7 +85,7 @@
 	if m.missed.IsZero() {
 		return 0
 	}
-	return l.c.now.Sub(m.missed)
+	return l.since(m.missed)
 }
 
 // cutZones lists the zones of which most machines are silent, and "" where a
@@ -87,10 +113,12 @@
 	return cut
 }
 
-// unheard tells whether a machine that an earlier leader placed work on should
-// have found us by now, when nearly all others have.
-func (l *lead) unheard(m *machine) bool {
-	found := l.patience() + config.Seconds(2*l.c.cfg.Facts.Workers.ReportS) + time.Second
+// mostFound tells whether nearly all machines that an earlier leader placed work on
+// have found us: one that has not should have by now.
+func (l *lead) mostFound() bool {
+	if l.since(l.elected) <= l.patience()+config.Seconds(2*l.c.cfg.Facts.Workers.ReportS)+time.Second {
+		return false
+	}
 	missing, all := 0, 0
 	for _, o := range l.machines {
 		if len(o.attempts) > 0 {
@@ -100,7 +128,7 @@
 			}
 		}
 	}
-	return l.c.now.Sub(l.elected) > found && missing <= max(1, all/8)
+	return missing <= max(1, all/8)
 }
 
 // canMove tells whether what a machine runs has room elsewhere now. If not,
@@ -122,7 +150,7 @@
 		boot = t.BootS
 	}
 	patience := config.Seconds(boot*2.5) + 10*time.Second
-	if l.c.now.Sub(l.elected) < config.Seconds(l.c.cfg.Facts.Workers.LeaseS) {
+	if l.since(l.elected) < config.Seconds(l.c.cfg.Facts.Workers.LeaseS) {
 		return false // it may be up and not have found us yet
 	}
 	if m.typ == "" { // known only from an earlier leader's placements
@@ -136,7 +164,7 @@
 func (l *lead) doubtful() []*scheduler.Demand {
 	var ds []*scheduler.Demand
 	for _, m := range l.fleetOrder {
-		suspected := max(l.c.now.Sub(m.reported), l.deafFor(m)) > l.patience() || l.cut[m.zone] && l.silent(m)
+		suspected := max(l.silence(m), l.deafFor(m)) > l.patience() || l.cut[m.zone] && l.silent(m)
 		if !m.up || m.leaseOut || !suspected {
 			continue
 		}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -38,7 +38,13 @@
 		delay = w.between(5*time.Second, 20*time.Second) // takes effect late
 	}
 	w.after(delay, func() {
-		r := c.handle(call)
+		r, tampered := controller.CloudReply{}, false
+		if w.Tamper.Cloud != nil {
+			r, tampered = w.Tamper.Cloud(&call)
+		}
+		if !tampered {
+			r = c.handle(call)
+		}
 		if !lost {
 			reply(r)
 		}
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"pumicefront/wire"
@@ -32,15 +33,20 @@
 	down := w.between(100*time.Millisecond, 6*time.Second)
 	soon := w.between(20*time.Millisecond, 400*time.Millisecond)
 	pick := w.rng.Uint64()
+	up := func() []*host {
+		return slices.DeleteFunc(slices.Clone(w.hosts), func(h *host) bool { return h.gone || h.up > w.now })
+	}
 	someHost := func(fn func(h *host)) {
-		var up []*host
-		for _, h := range w.hosts {
-			if !h.gone && h.up <= w.now {
-				up = append(up, h)
-			}
+		if hosts := up(); len(hosts) > 0 {
+			fn(hosts[pick%uint64(len(hosts))])
 		}
-		if len(up) > 0 {
-			fn(up[pick%uint64(len(up))])
+	}
+	share := 0.1 + 0.6*w.rng.Float64()
+	manyHosts := func(fn func(h *host)) {
+		for _, h := range up() {
+			if w.chance(share) {
+				fn(h)
+			}
 		}
 	}
 	kinds := []func(){
@@ -72,6 +78,22 @@
 			}
 			undo(func() { n.cutOff = false; w.store.notify() })
 		},
+		func() { n.stand(lasting) },
+		func() { n.stand(down / 3) },
+		func() {
+			for _, x := range w.nodes {
+				x.stand(w.between(0, lasting))
+			}
+		},
+		func() { // while another has to take over, and may be gone too
+			n.stand(lasting)
+			w.after(w.between(0, 4*time.Second), func() { w.nodes[(n.i+1)%len(w.nodes)].crash(soon) })
+		},
+		func() {
+			w.store.setOutage(true)
+			n.stand(lasting / 2)
+			undo(func() { w.store.setOutage(false) })
+		},
 		func() { n.crash(soon); w.after(soon+w.between(0, 2*time.Second), func() { n.crash(soon) }) },
 		func() {
 			w.store.setOutage(true)
@@ -89,6 +111,14 @@
 		func() { someHost(func(h *host) { h.restart(soon) }) },
 		func() { someHost(func(h *host) { h.muted = true; undo(func() { h.muted = false }) }) },
 		func() { someHost(func(h *host) { h.muted = true; undo(func() { h.muted = false; h.restart(soon) }) }) },
+		func() { manyHosts(func(h *host) { h.setCut(true); undo(func() { h.setCut(false) }) }) },
+		func() { manyHosts(func(h *host) { h.setHung(true); undo(func() { h.setHung(false) }) }) },
+		func() { manyHosts(func(h *host) { h.vanish() }) },
+		func() { manyHosts(func(h *host) { h.restart(w.between(20*time.Millisecond, 6*time.Second)) }) },
+		func() {
+			n.crash(down)
+			manyHosts(func(h *host) { h.setCut(true); undo(func() { h.setCut(false) }) })
+		},
 		func() { w.cloud.outage = true; undo(func() { w.cloud.outage = false }) },
 		func() { someHost(func(h *host) { h.setCut(true); undo(func() { h.setCut(false) }) }) },
 		func() { someHost(func(h *host) { h.setHung(true); undo(func() { h.setHung(false) }) }) },
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -40,6 +40,7 @@
 // task is an attempt on a machine.
 type task struct {
 	id      string
+	job     *simJob // nil: nobody submitted it
 	attempt uint64
 	state   string
 	why     string
@@ -327,9 +328,9 @@
 
 // run takes up a task as the protocol says: refused, fetching, then running.
 func (h *host) run(id string, attempt uint64) {
-	t := &task{id: id, attempt: attempt, state: wire.TaskFetching}
-	h.tasks = append(h.tasks, t)
 	j := h.w.users.jobOf(id)
+	t := &task{id: id, job: j, attempt: attempt, state: wire.TaskFetching}
+	h.tasks = append(h.tasks, t)
 	if j == nil {
 		h.exit(t, wire.WhyUnknown)
 		return
@@ -343,7 +344,7 @@
 			h.exit(t, wire.WhyBusy)
 			return
 		}
-		used += h.w.users.jobOf(o.id).spec.CPUs
+		used += o.job.spec.CPUs
 	}
 	if used > h.cpus() {
 		h.exit(t, wire.WhyNoRoom)
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -30,8 +30,8 @@
 	used := j.spec.CPUs
 	zones := map[string]int{h.zone: 1}
 	w.running(func(oh *host, o *task) {
-		oj := w.users.jobOf(o.id)
-		if o.id == t.id {
+		oj := o.job
+		if oj == j && o.id == t.id {
 			w.broken("ran_twice", "%s attempt %d starts on %s, attempt %d is on %s", t.id, t.attempt, h.id, o.attempt, oh.id)
 		}
 		if oj.spec.Team == j.spec.Team {
@@ -122,7 +122,7 @@
 func (w *World) checkCancelled(j *simJob) {
 	w.after(w.cancelTime()+time.Millisecond, func() {
 		w.running(func(h *host, t *task) {
-			if w.users.jobOf(t.id) == j {
+			if t.job == j {
 				w.broken("ran_cancelled", "%s is still on %s", t.id, h.id)
 			}
 		})
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -197,3 +197,40 @@
 		t.Error("the checker does not see a claim against a promise")
 	}
 }
+
+// A leader that stands still must be replaced, its tasks go on, and it joins again
+// by itself: it answers as the others do within seconds.
+func TestLeaderThatStandsStill(t *testing.T) {
+	w := settled(t, 7)
+	old := leader(w)
+	old.stand(30 * time.Second)
+	w.Run(w.now + 12*time.Second)
+	if leader(w) == old {
+		t.Error("a leader that stands still has the workers")
+	}
+	checkKept(t, w)
+	w.Run(w.now + 20*time.Second)
+	if old.frozen {
+		t.Fatal("it still stands")
+	}
+	ready := 0
+	old.ask(func(req uint64) controller.Input {
+		return controller.UserRequest{Req: req, Op: controller.UserReady}
+	}, func(a controller.Answer) { ready = a.Status })
+	w.Run(w.now + 2*time.Second)
+	if ready != http.StatusOK {
+		t.Errorf("it answers %d seconds after it went on", ready)
+	}
+	checkKept(t, w)
+}
+
+// All controllers stand still at once: nobody hears the machines, and none of them
+// may be given up for that.
+func TestAllStandStill(t *testing.T) {
+	w := settled(t, 8)
+	for _, n := range w.nodes {
+		n.stand(6 * time.Second)
+	}
+	w.Run(w.now + 25*time.Second)
+	checkKept(t, w)
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -39,6 +39,9 @@
 // arrays. PUMICEFRONT_GROWN=N plays more.
 func TestGrownDays(t *testing.T) { playDays(t, "PUMICEFRONT_GROWN", 3, Grown) }
 
+// TestFleetDays plays days of the fleets' shape. PUMICEFRONT_FLEET=N plays more.
+func TestFleetDays(t *testing.T) { playDays(t, "PUMICEFRONT_FLEET", 1, Fleet) }
+
 // playDays plays as many days as the variable says.
 func playDays(t *testing.T, variable string, days int, shape Shape) {
 	if s := os.Getenv(variable); s != "" {
@@ -212,6 +215,45 @@
 	})
 }
 
+// TestCheckerBitesOnTheFleet breaks what many machines and controllers that stand
+// still put at stake.
+func TestCheckerBitesOnTheFleet(t *testing.T) {
+	t.Run("a controller's clock stands still with it", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "authority", time.Second, func() Tamper {
+			behind, since := map[*node]time.Duration{}, map[*node]time.Time{}
+			return Tamper{Clock: func(n *node, now time.Time) time.Time {
+				switch at, still := since[n]; {
+				case n.frozen && !still:
+					since[n] = now
+				case !n.frozen && still:
+					behind[n] += now.Sub(at)
+					delete(since, n)
+				}
+				return now.Add(-behind[n])
+			}}
+		})
+	})
+	t.Run("a release counts that did not take place", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_twice", time.Second, func() Tamper {
+			return Tamper{Cloud: func(call *controller.CloudCall) (controller.CloudReply, bool) {
+				return controller.CloudReply{Status: http.StatusOK}, call.Op == controller.CloudRelease
+			}}
+		})
+	})
+	t.Run("what many machines that are cut run is taken for lost", func(t *testing.T) {
+		t.Parallel()
+		caught(t, "ran_twice", time.Second, func() Tamper {
+			return Tamper{Report: func(h *host, late bool, r *wire.Report) {
+				if late && h.cut {
+					r.Session, r.Seq, r.Tasks = h.session+1, h.seq+1, nil
+				}
+			}}
+		})
+	})
+}
+
 func onlyTasks(t wire.Txn) bool {
 	for _, c := range t.Then {
 		if !strings.HasPrefix(c.Put, "t/") {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -27,6 +27,8 @@
 	Boot       func(now time.Time) time.Time // when a process believes that it starts
 	State      func(call *controller.StateCall) (controller.StateReply, bool)
 	StateReply func(call *controller.StateCall, r *controller.StateReply)
+	Clock      func(n *node, now time.Time) time.Time
+	Cloud      func(call *controller.CloudCall) (controller.CloudReply, bool)
 }
 
 // Shape is the size of a deployment.
@@ -38,11 +40,12 @@
 	Arrive      time.Duration // between submissions, in the mean
 }
 
-// The shapes that days are played in: as the first deployments are, and as they
-// have grown.
+// The shapes that days are played in: as the first deployments are, as they have
+// grown, and as the fleets are with half as many machines again.
 var (
 	Small = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, Arrive: 4 * time.Second}
 	Grown = Shape{Controllers: 5, Machines: 240, Scale: 20, Tasks: 120, Arrive: 3 * time.Second}
+	Fleet = Shape{Controllers: 5, Machines: 1900, Scale: 400, Tasks: 300, Arrive: 600 * time.Millisecond}
 )
 
 // World is one simulated day.
@@ -176,14 +179,21 @@
 	nextReq  uint64
 	refused  bool // by the state service
 	meshCut  bool
-	deaf     bool // cut off from the workers
-	cutOff   bool // neither the state service nor the other controllers are reached
+	deaf     bool          // cut off from the workers
+	cutOff   bool          // neither the state service nor the other controllers are reached
+	freezing time.Duration // stands still after the next step, for so long
+	frozen   bool          // stands still while its clocks run on
+	held     []func()      // what it does when it goes on
 	cause    controller.Input
 	sent     []func() // commands carried out lately, which may be repeated after a crash
 }
 
 func (n *node) clock() time.Time {
-	return n.w.start.Add(n.w.now + time.Duration(float64(n.w.now)*n.drift))
+	now := n.w.start.Add(n.w.now + time.Duration(float64(n.w.now)*n.drift))
+	if n.w.Tamper.Clock != nil {
+		return n.w.Tamper.Clock(n, now)
+	}
+	return now
 }
 
 func (n *node) boot() {
@@ -212,6 +222,7 @@
 	}
 	n.w.Log("%v crash %s", n.w.now, n.name)
 	n.core = nil
+	n.freezing, n.frozen, n.held = 0, false, nil
 	for _, again := range n.sent {
 		if n.w.chance(0.5) {
 			n.w.after(n.w.between(0, 30*time.Second), again)
@@ -221,21 +232,55 @@
 	n.w.after(down, n.boot)
 }
 
+// stand makes the process stand still while its clocks run on, in the middle of its
+// next step: what that has decided goes out when it goes on, and so does all that
+// has arrived meanwhile.
+func (n *node) stand(still time.Duration) { n.freezing = still }
+
+func (n *node) goOn(life int) {
+	if n.life != life || !n.frozen {
+		return
+	}
+	n.w.Log("%v %s goes on", n.w.now, n.name)
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	for _, fn := range held {
+		if n.life == life {
+			fn()
+		}
+	}
+}
+
 func (n *node) step(in controller.Input) {
 	if n.core == nil {
 		return
 	}
+	if n.frozen {
+		n.held = append(n.held, func() { n.step(in) })
+		return
+	}
 	n.cause = in
 	for _, o := range n.core.Step(n.clock(), in) {
 		if n.w.Tamper.Output != nil {
 			o = n.w.Tamper.Output(n, o)
 		}
 		n.w.checkAuthority(n, o)
-		n.carryOut(o)
+		if n.freezing > 0 {
+			n.held = append(n.held, func() { n.carryOut(o) })
+		} else {
+			n.carryOut(o)
+		}
 	}
 	if n.core == nil {
 		return
 	}
+	if n.freezing > 0 {
+		n.w.Log("%v %s stands still for %v", n.w.now, n.name, n.freezing)
+		life := n.life
+		n.w.after(n.freezing, func() { n.goOn(life) })
+		n.freezing, n.frozen = 0, true
+	}
 	wake := n.w.now + n.core.Wake().Sub(n.clock()) + time.Millisecond
 	if n.wakeAt <= n.w.now || wake < n.wakeAt {
 		n.wakeAt = wake
@@ -248,11 +293,23 @@
 	}
 }
 
-// deliver hands a reply to the process that asked, if it still runs.
+// deliver hands a reply to the process that asked, if it still runs. One that has
+// come while the process stands still may be found after its time has run out.
 func (n *node) deliver(life int, in controller.Input) {
-	if n.life == life {
-		n.step(in)
+	if n.life != life {
+		return
+	}
+	if n.frozen && n.w.chance(0.5) {
+		switch r := in.(type) {
+		case controller.StateReply:
+			in = controller.StateReply{ID: r.ID}
+		case controller.WorkerReply:
+			in = controller.WorkerReply{ID: r.ID, Machine: r.Machine}
+		case controller.CloudReply:
+			in = controller.CloudReply{ID: r.ID}
+		}
 	}
+	n.step(in)
 }
 
 func (n *node) carryOut(o controller.Output) {
--- a/server/server.go
+++ b/server/server.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	queueLen      = 1024
 	answerTimeout = 3 * time.Second
+	answerLife    = 2 * time.Second // users wait for two
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 90 * time.Second
 	listenPause   = 200 * time.Millisecond
@@ -46,7 +46,8 @@
 	inputs chan controller.Input
 	asked  chan request
 	nextID atomic.Uint64
-	open   atomic.Int64 // connections of users and workers
+	open   atomic.Int64              // connections of users and workers
+	until  atomic.Pointer[time.Time] // the core's authority, as it was after its last step
 }
 
 // How the sockets are shared: most for users and workers, some for calls of
@@ -69,19 +70,36 @@
 type request struct {
 	id    uint64
 	input controller.Input
-	reply chan controller.Answer
+	at    time.Time
+	reply chan answer
 }
 
-// New makes a controller from its settings.
+// answer is an answer and when the core decided on it.
+type answer struct {
+	controller.Answer
+	at time.Time
+}
+
+// entitled tells whether the core may act for the controllers now.
+func (s *Server) entitled() bool {
+	until := s.until.Load()
+	return until != nil && time.Now().Before(*until)
+}
+
+// New makes a controller from its settings. The queues hold what all connections
+// can ask at once: when everybody comes back in the same second, nobody is sent away
+// for lack of a place.
 func New(cfg *config.Platform, op config.Operator) *Server {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Server{
+	conns := cfg.Facts.Resources.MaxConnections
+	s := &Server{
 		cfg:    cfg,
 		core:   controller.New(cfg, op, rng, time.Now()),
-		client: client.New(cfg.External.State, cfg.External.Cloud, cfg.Facts.Resources.MaxConnections/8),
-		inputs: make(chan controller.Input, queueLen),
-		asked:  make(chan request, queueLen),
+		inputs: make(chan controller.Input, conns),
+		asked:  make(chan request, conns),
 	}
+	s.client = client.New(cfg.External.State, cfg.External.Cloud, conns/8, s.entitled)
+	return s
 }
 
 // Run serves until ctx ends or a listener fails.
@@ -139,7 +157,7 @@
 
 // loop is the one goroutine that owns the core.
 func (s *Server) loop(ctx context.Context) {
-	waiting := map[uint64]chan controller.Answer{}
+	waiting := map[uint64]chan answer{}
 	timer := time.NewTimer(0)
 	for {
 		var in controller.Input
@@ -148,15 +166,22 @@
 			return
 		case in = <-s.inputs:
 		case r := <-s.asked:
+			if time.Since(r.at) > answerTimeout {
+				continue // refused already: no work is wasted on it
+			}
 			waiting[r.id] = r.reply
 			in = r.input
 		case <-timer.C:
 			in = controller.Tick{}
 		}
-		for _, o := range s.core.Step(time.Now(), in) {
+		now := time.Now()
+		outputs := s.core.Step(now, in)
+		until := s.core.Authority()
+		s.until.Store(&until)
+		for _, o := range outputs {
 			if a, ok := o.(controller.Answer); ok {
 				if ch := waiting[a.Req]; ch != nil {
-					ch <- a
+					ch <- answer{a, now}
 					delete(waiting, a.Req)
 				}
 				continue
@@ -190,9 +215,9 @@
 		respond(w, controller.Answer{Status: status, Body: wire.Error{Error: http.StatusText(status)}})
 		return
 	}
-	reply := make(chan controller.Answer, 1)
+	reply := make(chan answer, 1)
 	select {
-	case s.asked <- request{id, in, reply}:
+	case s.asked <- request{id, in, time.Now(), reply}:
 	default:
 		respond(w, overloaded())
 		return
@@ -201,11 +226,16 @@
 	defer timer.Stop()
 	select {
 	case a := <-reply:
+		if time.Since(a.at) > answerLife {
+			// The process stood still, or is far behind: what was true then may not be now.
+			respond(w, overloaded())
+			return
+		}
 		if _, report := in.(controller.ReportRequest); report && s.crowded() {
 			// There may be more workers than sockets: none keeps one between reports.
 			w.Header().Set("Connection", "close")
 		}
-		respond(w, a)
+		respond(w, a.Answer)
 	case <-timer.C:
 		respond(w, overloaded())
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"pumicefront/config"
 	"pumicefront/controller"
@@ -90,7 +91,7 @@
 	ask := func(path string, body []byte) string {
 		go func() {
 			r := <-s.asked
-			r.reply <- controller.Answer{Status: http.StatusOK, Body: struct{}{}}
+			r.reply <- answer{controller.Answer{Status: http.StatusOK, Body: struct{}{}}, time.Now()}
 		}()
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, httptest.NewRequest("POST", path, bytes.NewReader(body)))
@@ -114,3 +115,20 @@
 		t.Errorf("%d connections open", s.open.Load())
 	}
 }
+
+// An answer that was decided on before the process stood still is not given: another
+// controller may have told something newer since.
+func TestOldAnswersAreNotGiven(t *testing.T) {
+	for age, want := range map[time.Duration]int{0: http.StatusOK, answerLife + time.Second: http.StatusServiceUnavailable} {
+		s := &Server{cfg: &config.Platform{}, asked: make(chan request, 1)}
+		go func() {
+			r := <-s.asked
+			r.reply <- answer{controller.Answer{Status: http.StatusOK, Body: struct{}{}}, time.Now().Add(-age)}
+		}()
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest("GET", "/v2/runs/req-1", nil))
+		if w.Code != want {
+			t.Errorf("decided on %v ago: status %d, want %d", age, w.Code, want)
+		}
+	}
+}
