A leader that loses its way to the workers releases nobody for it

Ruled out: dead machines (none died), the relays (reports came).

Changed: no release while far too few machines of a zone, or of all, have been heard in the last quarter of a report's interval, nor for a patience after a cut was seen.

Test: a deaf leader of 66 machines released 13 with what they run, now none.

--- a/controller/leader.go
+++ b/controller/leader.go
@@ -43,6 +43,7 @@
 	bumping    bool
 	sought     map[string]time.Time // machines asked for a report, and when
 	cut        map[string]bool      // see cutZones
+	cutAt      map[string]time.Time // when each was seen last
 
 	arrivals []arrival
 	fleet    fleet
@@ -150,7 +151,7 @@
 		c: c, token: token, first: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
 		writes: rate.NewLimiter(rate.Limit(st.WriteRPS*0.5), max(2, int(st.WriteRPS*0.4))),
-		sought: map[string]time.Time{}, told: map[string]jobCount{}, bumpedAt: c.now,
+		sought: map[string]time.Time{}, told: map[string]jobCount{}, bumpedAt: c.now, cutAt: map[string]time.Time{},
 	}
 	l.fleet.init()
 	c.lead = l
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -10,7 +10,11 @@
 // releaseLost decides between waiting a lease out and releasing the machine.
 func (l *lead) releaseLost() {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
-	cut := l.cut
+	hushed := l.hushed()
+	// Just after a cut some machines are still to be heard, and others are back already.
+	blameless := func(zone string) bool {
+		return !hushed[zone] && l.c.now.Sub(l.cutAt[zone]) > l.patience()
+	}
 	var elsewhere []*scheduler.Machine // drawn once: what moves off one machine takes room from the next
 	canMove := func(m *machine) bool {
 		if elsewhere == nil {
@@ -31,7 +35,7 @@
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case silence > 3*lease, (silence > l.patience() && m.unanswered || l.deafFor(m) > l.patience()) && !cut[m.zone] && !cut[""] && canMove(m):
+		case silence > 3*lease, (silence > l.patience() && m.unanswered || l.deafFor(m) > l.patience()) && blameless(m.zone) && blameless("") && canMove(m):
 			l.release(m, "silent")
 		case (l.late(m) || !m.missed.IsZero()) && !m.calling && !l.c.now.Before(m.probeAt):
 			l.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
@@ -110,9 +114,43 @@
 			cut[zone] = n > 1 && 2*n > all[zone]
 		}
 	}
+	for zone, is := range cut {
+		if is {
+			l.cutAt[zone] = l.c.now
+		}
+	}
 	return cut
 }
 
+// hushed lists the zones, and "" for all machines, of which far too few have been
+// heard in the last moments. Where all fall silent at once, those that were due
+// first are suspected before a quarter of all is late: a leader that has just lost
+// its way to the workers would release them.
+func (l *lead) hushed() map[string]bool {
+	const (
+		part  = 4 // of the time between two reports
+		least = 2 // reports that must have been due
+	)
+	window := config.Seconds(l.c.cfg.Facts.Workers.ReportS / part)
+	all, heard := map[string]int{}, map[string]int{}
+	for _, m := range l.machines {
+		if !m.up {
+			continue
+		}
+		for _, zone := range [...]string{m.zone, ""} {
+			all[zone]++
+			if l.c.now.Sub(m.reported) <= window {
+				heard[zone]++
+			}
+		}
+	}
+	hushed := map[string]bool{}
+	for zone, n := range all {
+		hushed[zone] = n >= least*part && 3*heard[zone] < n/part
+	}
+	return hushed
+}
+
 // mostFound tells whether nearly all machines that an earlier leader placed work on
 // have found us: one that has not should have by now.
 func (l *lead) mostFound() bool {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -1,7 +1,9 @@
 package sim
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -234,3 +236,41 @@
 	w.Run(w.now + 25*time.Second)
 	checkKept(t, w)
 }
+
+// A leader of many machines that loses the way to all of them must not take the first
+// ones that are overdue for dead, nor, when the way is back, those that it hears last.
+func TestDeafLeaderReleasesNobody(t *testing.T) {
+	w := New(9, Grown)
+	w.after(time.Second, func() {
+		for i := range 40 {
+			j := &simJob{spec: wire.Job{ID: fmt.Sprintf("req-%06d", i), Class: "web", Team: "red", Kind: wire.KindService, Priority: "prod",
+				Tasks: 4, CPUs: 2, MemoryGB: 1, Image: "img-0", ImageGB: 1}, done: make([]bool, 4)}
+			w.users.jobs[j.spec.ID] = j
+			w.users.list = append(w.users.list, j)
+			w.users.submit(j)
+		}
+	})
+	w.Run(90 * time.Second)
+	busy := map[*host]bool{}
+	w.running(func(h *host, _ *task) { busy[h] = true })
+	if len(busy) < 20 {
+		t.Fatalf("%d machines are at work, want many", len(busy))
+	}
+	n := leader(w)
+	n.deaf = true
+	w.Run(w.now + 40*time.Second)
+	n.deaf = false
+	w.Run(w.now + 10*time.Second)
+	released := 0
+	for h := range busy {
+		if h.gone && slices.ContainsFunc(h.tasks, (*task).onMachine) {
+			released++
+		}
+	}
+	if released > 0 {
+		t.Errorf("%d of %d machines are released with what they run", released, len(busy))
+	}
+	for _, r := range w.Rules {
+		t.Error(r)
+	}
+}
