--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -472,3 +473,62 @@
 		t.Fatal("machines that stay silent are never released")
 	}
 }
+
+// The cloud allows few calls a second. A new leader asks again only for the rentals
+// that have no answer on record, and nothing is asked for whose like was just refused.
+func TestRentalsAreAskedForOnce(t *testing.T) {
+	c, l, _ := leading(t)
+	rent := func(name string) wire.Rent { return wire.Rent{Request: name, Type: "t", Zone: "a", Count: 2} }
+	item := func(r hireRecord) wire.Item {
+		return wire.Item{Key: hirePrefix + r.Rent.Request, Value: wire.Marshal(r), Version: 5}
+	}
+	l.fleet.restore(l, []wire.Item{
+		item(hireRecord{Rent: rent("r-1-1"), Answered: true, Machines: []string{"i-1", "i-2"}}),
+		item(hireRecord{Rent: rent("r-1-2")}),
+	})
+	if m := l.machines["i-2"]; m == nil || m.typ != "t" {
+		t.Error("a rented machine on record is not expected")
+	}
+	asked := func() (names []string) {
+		for _, o := range c.out {
+			if call, ok := o.(CloudCall); ok && call.Op == CloudRent {
+				names = append(names, call.Rent.Request)
+			}
+		}
+		return names
+	}
+	c.out = nil
+	l.askHires()
+	if got := asked(); len(got) != 1 || got[0] != "r-1-2" {
+		t.Fatalf("asked for %v, want r-1-2 alone", got)
+	}
+	for _, name := range []string{"r-2-1", "r-2-2"} {
+		l.fleet.hires[name] = &hire{rent: rent(name), version: 6, since: c.now}
+	}
+	c.now = c.now.Add(time.Second)
+	l.hired(l.fleet.hires["r-1-2"], CloudReply{Status: http.StatusServiceUnavailable})
+	c.out = nil
+	l.askHires()
+	if got := asked(); len(got) > 0 || l.fleet.hires["r-2-1"] != nil || l.fleet.hires["r-1-1"] == nil {
+		t.Errorf("asked for %v after a refusal of the same kind, left %v", got, l.fleet.hires)
+	}
+}
+
+// A transaction may hold more changes than the budget's burst. Records that are due to
+// be removed must go nonetheless, or every new leader reads them, and takes rentals
+// of long ago for machines that boot.
+func TestSweepFitsTheBudget(t *testing.T) {
+	c, l, _ := leading(t)
+	l.writes = rate.NewLimiter(28, 28)
+	c.cfg.Facts.State.TxnOps = 32
+	for i := range 100 {
+		l.orphans = append(l.orphans, fmt.Sprintf("h/r-1-%d", i))
+	}
+	for range 10 {
+		c.now = c.now.Add(time.Second)
+		l.sweep()
+	}
+	if n := len(l.orphans); n > 0 {
+		t.Errorf("%d of 100 records are left after ten seconds", n)
+	}
+}
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -53,8 +53,11 @@
 // hire is a rental request whose machines are not all accounted for.
 type hire struct {
 	rent     wire.Rent
-	recorded bool
+	since    time.Time
+	version  uint64 // of its record; 0: not written yet
 	asking   bool
+	asked    bool // by us or an earlier leader: it may have rented
+	answered bool
 	machines []string
 }
 
@@ -71,13 +74,15 @@
 	f.peaks = map[string]*peak{}
 }
 
-// restore takes up the rentals that earlier leaders have begun: asked again by
-// their names they rent nothing twice.
+// restore takes up the rentals that earlier leaders have begun. Those without an
+// answer on record are asked again: by their names they rent nothing twice.
 func (f *fleet) restore(l *lead, items []wire.Item) {
-	f.calls = rate.NewLimiter(rate.Limit(l.c.cfg.Facts.Cloud.RPS*0.7), max(1, int(l.c.cfg.Facts.Cloud.RPS)))
+	f.calls = rate.NewLimiter(rate.Limit(l.c.cfg.Facts.Cloud.RPS*0.9), max(1, int(l.c.cfg.Facts.Cloud.RPS)))
 	for _, it := range items {
 		if rec := decode[hireRecord](it.Value); rec != nil {
-			f.hires[rec.Rent.Request] = &hire{rent: rec.Rent, recorded: true}
+			h := &hire{rent: rec.Rent, version: it.Version, asked: true, answered: rec.Answered, machines: rec.Machines}
+			f.hires[rec.Rent.Request] = h
+			l.expect(h)
 		}
 	}
 }
@@ -101,8 +106,8 @@
 	}
 	l.wantPlacement()
 	l.refreshTypes()
-	l.refreshList()
 	l.askHires()
+	l.refreshList()
 	l.returnSpare()
 	if len(l.c.types) > 0 && l.c.now.Before(l.authority) {
 		l.rentMore()
@@ -122,39 +127,41 @@
 	return true
 }
 
-// askHires sends rental requests that are recorded and not answered.
+// askHires sends rental requests that are recorded and not answered. One that was
+// never asked for is dropped when its like has been refused meanwhile: the calls are
+// few, and others need them.
 func (l *lead) askHires() {
 	f := &l.fleet
 	for _, name := range slices.Sorted(maps.Keys(f.hires)) {
 		h := f.hires[name]
 		switch {
-		case !h.recorded || h.asking:
-		case h.machines == nil:
-			h.asking = l.call(CloudCall{Op: CloudRent, Rent: h.rent}, func(r CloudReply) { l.hired(h, r) })
-		case l.accounted(h):
+		case h.version == 0 || h.asking:
+		case h.answered:
+			if l.accounted(h) {
+				l.dropHire(h)
+			}
+		case !h.asked && f.refused[h.offer()].After(h.since):
 			l.dropHire(h)
+		default:
+			h.asking = l.call(CloudCall{Op: CloudRent, Rent: h.rent}, func(r CloudReply) { l.hired(h, r) })
+			h.asked = h.asked || h.asking
 		}
 	}
 }
 
+func (h *hire) offer() offerKey { return offerKey{h.rent.Type, h.rent.Zone, h.rent.Spot} }
+
 func (l *lead) hired(h *hire, r CloudReply) {
 	h.asking = false
-	k := offerKey{h.rent.Type, h.rent.Zone, h.rent.Spot}
+	k := h.offer()
 	switch r.Status {
 	case http.StatusOK:
-		h.machines = append([]string{}, r.Names.Machines...)
+		h.answered, h.machines = true, r.Names.Machines
 		if len(h.machines) < h.rent.Count {
 			l.fleet.refused[k] = l.c.now
 		}
-		for _, id := range h.machines {
-			if _, gone := l.released[id]; gone {
-				continue
-			}
-			m := l.machine(id)
-			if !m.up {
-				m.typ, m.zone, m.spot = h.rent.Type, h.rent.Zone, h.rent.Spot
-			}
-		}
+		l.expect(h)
+		l.recordHire(h, func(StateReply) {})
 		l.c.log(slog.LevelInfo, "rented", "request", h.rent.Request, "type", k.typ, "zone", k.zone, "spot", k.spot, "machines", len(h.machines))
 	case http.StatusServiceUnavailable, http.StatusBadRequest:
 		l.fleet.refused[k] = l.c.now
@@ -164,6 +171,32 @@
 	}
 }
 
+// expect takes the machines of a request into the ledger.
+func (l *lead) expect(h *hire) {
+	for _, id := range h.machines {
+		if _, gone := l.released[id]; gone {
+			continue
+		}
+		if m := l.machine(id); !m.up {
+			m.typ, m.zone, m.spot, m.rented = h.rent.Type, h.rent.Zone, h.rent.Spot, h.since
+		}
+	}
+}
+
+// recordHire writes what is known of a request, over the record that we know of.
+func (l *lead) recordHire(h *hire, done func(StateReply)) {
+	key := hirePrefix + h.rent.Request
+	txn := wire.Txn{
+		If:   []wire.Cond{l.mine(), {Key: key, Version: h.version}},
+		Then: []wire.Change{put(key, hireRecord{h.rent, h.answered, h.machines})},
+	}
+	l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(r StateReply) {
+		if l.c.lead == l {
+			done(r)
+		}
+	})
+}
+
 // accounted tells whether every machine of a request is up or released.
 func (l *lead) accounted(h *hire) bool {
 	for _, id := range h.machines {
@@ -183,7 +216,7 @@
 func (l *lead) rentMore() {
 	f := &l.fleet
 	for _, h := range f.hires {
-		if h.machines == nil {
+		if !h.answered {
 			return // not answered yet: its machines are not counted
 		}
 	}
@@ -243,19 +276,14 @@
 	f := &l.fleet
 	f.seq++
 	r.Request = fmt.Sprintf("r-%d-%d", l.token, f.seq)
-	h := &hire{rent: r}
+	h := &hire{rent: r, since: l.c.now}
 	f.hires[r.Request] = h
-	key := hirePrefix + r.Request
-	txn := wire.Txn{If: []wire.Cond{l.mine()}, Then: []wire.Change{put(key, hireRecord{r})}}
-	l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(reply StateReply) {
-		if l.c.lead != l {
-			return
-		}
+	l.recordHire(h, func(reply StateReply) {
 		if reply.Status != http.StatusOK {
 			delete(f.hires, r.Request) // never asked for; a late record is asked for by the next leader
 			return
 		}
-		h.recorded = true
+		h.version = reply.Txn.Revision
 		l.askHires()
 	})
 }
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -551,7 +551,8 @@
 
 // sweep removes task records whose job is over, a transaction at a time.
 func (l *lead) sweep() {
-	n := min(len(l.orphans), l.c.cfg.Facts.State.TxnOps)
+	// More than a burst would never be allowed, and none of them ever removed.
+	n := min(len(l.orphans), l.c.cfg.Facts.State.TxnOps, l.writes.Burst())
 	if n == 0 || !l.writes.AllowN(l.c.now, n) {
 		return
 	}
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -33,7 +33,8 @@
 	spot                bool
 	up                  bool // has reported to us
 	session, seq, token uint64
-	since               time.Time // rented or first known
+	since               time.Time // first known
+	rented              time.Time // by us; zero: by an earlier leader
 	reported            time.Time // its last report or answer
 	answered            time.Time // our last 200, which may have renewed its lease
 	idle                time.Time // without tasks since
--- a/controller/record.go
+++ b/controller/record.go
@@ -64,9 +64,12 @@
 	Zone    string `cbor:"z"` // constraints are checked before the machine reports again
 }
 
-// hireRecord is a rental request, written before it is made.
+// hireRecord is a rental request, written before it is made, and its answer, so that
+// a new leader asks again only for what has none.
 type hireRecord struct {
-	Rent wire.Rent `cbor:"r"`
+	Rent     wire.Rent `cbor:"r"`
+	Answered bool      `cbor:"a,omitempty"`
+	Machines []string  `cbor:"m,omitempty"`
 }
 
 func headerKey(job string) string { return headerPrefix + job }
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -77,7 +77,7 @@
 	var idle []*machine
 	for _, m := range l.fleetOrder {
 		// A machine is charged for a minute at least: before that nothing is saved.
-		if m.up && !m.releasing && len(m.attempts)+len(m.strays) == 0 && l.c.now.Sub(m.since) >= leastCharge &&
+		if m.up && !m.releasing && len(m.attempts)+len(m.strays) == 0 && l.c.now.Sub(m.rented) >= leastCharge &&
 			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS) && !l.silent(m) {
 			idle = append(idle, m)
 		}
