Replicas that are left over move together; machines that don't answer a new leader

Changed: every two seconds, when nothing waits, no cut is seen and the headroom stays, the machine whose money is spent on fewest settled replicas is emptied if all of them have room where their image is. Asking takes half of the places for calls at most, so that hundreds of hanging machines don't hold up the commands to others.

Tests: gather empties one machine, silent since the election, asking leaves room for commands.

--- a/client/client.go
+++ b/client/client.go
@@ -24,6 +24,7 @@
 	services     *http.Client
 	workers      *http.Client
 	calling      chan struct{} // one for each call of a worker under way
+	asking       chan struct{} // one for each of those that only ask for a report
 	entitled     func() bool   // whether the core may act for the controllers now
 }
 
@@ -37,7 +38,8 @@
 func New(state, cloud string, conns int, entitled func() bool) *Client {
 	return &Client{
 		state: "http://" + state, cloud: "http://" + cloud, entitled: entitled,
-		services: pool(32), workers: pool(conns), calling: make(chan struct{}, conns),
+		services: pool(32), workers: pool(conns),
+		calling: make(chan struct{}, conns), asking: make(chan struct{}, max(1, conns/2)),
 	}
 }
 
@@ -160,8 +162,14 @@
 	return reply
 }
 
-// Worker sends direct commands of the core to a worker.
+// Worker sends direct commands of the core to a worker. Calls that only ask for a
+// report take half of the places at most: where hundreds of machines hang, each of
+// them holds one until it is given up, and commands to the others must not wait.
 func (c *Client) Worker(cmd controller.WorkerCall) controller.WorkerReply {
+	if len(cmd.Commands.Commands) == 0 {
+		c.asking <- struct{}{}
+		defer func() { <-c.asking }()
+	}
 	c.calling <- struct{}{}
 	defer func() { <-c.calling }()
 	reply := controller.WorkerReply{ID: cmd.ID, Machine: cmd.Machine}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -40,10 +40,11 @@
 	defer state.Close()
 	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 	c := New(addr(state), "127.0.0.1:1", most, func() bool { return true })
+	stop := wire.Commands{Commands: []wire.Command{{Op: wire.OpStop, Task: "req-1/0", Attempt: 1}}}
 	var done sync.WaitGroup
 	for range calls {
 		done.Go(func() {
-			r := c.Worker(controller.WorkerCall{Machine: "i-1", Addr: addr(worker), Timeout: time.Minute})
+			r := c.Worker(controller.WorkerCall{Machine: "i-1", Addr: addr(worker), Commands: stop, Timeout: time.Minute})
 			if r.Status != http.StatusOK || r.Report.Machine != "i-1" {
 				t.Errorf("status %d, %+v", r.Status, r.Report)
 			}
@@ -84,3 +85,38 @@
 		t.Errorf("status %d and %d, %d calls with authority", w, k, calls.Load())
 	}
 }
+
+// Hundreds of machines may hang when a new leader asks all of them at once: commands to
+// the others must find a place.
+func TestAskingLeavesRoomForCommands(t *testing.T) {
+	const most = 4
+	asked := make(chan struct{}, most*3)
+	release := make(chan struct{})
+	hangs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked <- struct{}{}
+		<-release
+	}))
+	defer hangs.Close()
+	works := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Write(wire.Marshal(wire.Report{Machine: "i-2"}))
+	}))
+	defer works.Close()
+	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	c := New(addr(works), "127.0.0.1:1", most, func() bool { return true })
+	var done sync.WaitGroup
+	for range most * 3 {
+		done.Go(func() { c.Worker(controller.WorkerCall{Machine: "i-1", Addr: addr(hangs), Timeout: time.Minute}) })
+	}
+	for range most / 2 {
+		<-asked
+	}
+	run := wire.Commands{Commands: []wire.Command{{Op: wire.OpRun, Task: "req-1/0", Attempt: 1}}}
+	if r := c.Worker(controller.WorkerCall{Machine: "i-2", Addr: addr(works), Commands: run, Timeout: time.Minute}); r.Status != http.StatusOK {
+		t.Errorf("status %d", r.Status)
+	}
+	if n := len(asked); n > 0 {
+		t.Errorf("%d more machines asked than half of the places", n)
+	}
+	close(release)
+	done.Wait()
+}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"pumicefront/config"
+	"pumicefront/mesh"
 	"pumicefront/reduction"
 	"pumicefront/wire"
 )
@@ -532,3 +533,101 @@
 		t.Errorf("%d of 100 records are left after ten seconds", n)
 	}
 }
+
+// Replicas that are left over on many dear machines move together, one machine at a
+// time, when they have settled and have room where their image is; never otherwise.
+func TestGatherEmptiesOneMachine(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		ran     time.Duration
+		cached  bool
+		batch   bool
+		emptied int
+	}{
+		{"room elsewhere", 2 * time.Minute, true, false, 1},
+		{"just started", time.Second, true, false, 0},
+		{"image elsewhere missing", 2 * time.Minute, false, false, 0},
+		{"batch work beside it", 2 * time.Minute, true, true, 0},
+	} {
+		core, l, _ := leading(t)
+		core.types["t"] = wire.MachineType{Name: "t", CPUs: 8, Price: 1}
+		core.cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 100, CPUsMax: 100}}
+		l.order, l.jobs = nil, map[string]*job{}
+		run := func(id, kind string, m *machine) *attempt {
+			j := l.addJob(id, &headerRecord{PerChunk: 10, Job: wire.Job{ID: id, Kind: kind, Team: "red", Priority: "prod", Tasks: 1, CPUs: 2, Image: "img"}})
+			a := place(l, j, 0, m)
+			a.sent, a.seen, a.running, a.since, j.begun = true, true, true, core.now.Add(-c.ran), true
+			return a
+		}
+		for i, n := range []int{3, 1} {
+			id := fmt.Sprintf("i-%d", i)
+			m := l.machine(id)
+			l.apply(m, &wire.Report{Machine: id, Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+			m.images["img"] = c.cached
+			for k := range n {
+				run(fmt.Sprintf("req-%d%d", i, k), wire.KindService, m)
+			}
+		}
+		if c.batch {
+			run("req-99", wire.KindArray, l.machines["i-1"])
+		}
+		l.gather()
+		stopping := 0
+		for _, m := range l.machines {
+			for _, a := range m.list {
+				if a.stopping {
+					stopping++
+				}
+			}
+		}
+		if got := l.machines["i-1"].emptying; got != (c.emptied > 0) || stopping != c.emptied || l.machines["i-0"].emptying {
+			t.Errorf("%s: emptying %v, %d tasks stopped, want %d", c.name, got, stopping, c.emptied)
+		}
+	}
+}
+
+// Machines that died shortly before the leader did are known from its placements alone.
+// One that doesn't answer a new leader is given up as soon as any other that has fallen
+// silent; one that could not be asked may still be looking for the leader.
+func TestSilentSinceTheElection(t *testing.T) {
+	c, l, j := leading(t)
+	c.types["t"] = wire.MachineType{Name: "t", CPUs: 4, BootS: 5}
+	others := l.addJob("req-000002", &headerRecord{Job: wire.Job{ID: "req-000002", Kind: wire.KindArray, Tasks: 20, CPUs: 1}, PerChunk: 20})
+	for i := range 20 {
+		m := l.machine(fmt.Sprintf("i-%02d", i))
+		l.apply(m, &wire.Report{Machine: m.id, Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+		place(l, others, i, m)
+	}
+	asked, unknown := l.machine("j-0"), l.machine("j-1")
+	place(l, j, 0, asked)
+	place(l, j, 1, unknown)
+	c.hints["j-0"] = &mesh.Hint{Machine: "j-0", Addr: "j-0"}
+	seq := uint64(1)
+	step := func() {
+		c.now = c.now.Add(250 * time.Millisecond)
+		l.authority = c.now.Add(time.Second)
+		l.fleet.lookedAt = time.Time{}
+		seq++
+		for id, m := range l.machines {
+			if m.up {
+				l.apply(m, &wire.Report{Machine: id, Type: "t", Zone: "a", Session: 1, Seq: seq, Token: 7})
+			}
+		}
+		l.run()
+		for id := range c.workerCalls {
+			resume(c.workerCalls, id, WorkerReply{ID: id}) // no answer
+		}
+	}
+	for l.since(l.elected) <= l.patience() {
+		step()
+	}
+	if asked.releasing || unknown.releasing {
+		t.Fatal("given up too soon")
+	}
+	for range 6 {
+		step()
+	}
+	if !asked.releasing || unknown.releasing {
+		t.Errorf("the one that does not answer: released %v; the one that was not asked: %v", asked.releasing, unknown.releasing)
+	}
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -19,6 +19,8 @@
 	leadCallTimeout  = 2 * time.Second
 	cloudCallTimeout = 5 * time.Second
 	probeTimeout     = 700 * time.Millisecond
+	seekTimeout      = time.Second
+	seekPause        = 4 * time.Second
 	watchWait        = 4 * time.Second
 	retryPause       = 200 * time.Millisecond
 	tickEvery        = 250 * time.Millisecond
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -109,6 +109,7 @@
 	l.askHires()
 	l.refreshList()
 	l.returnSpare()
+	l.gather()
 	if len(l.c.types) > 0 && l.c.now.Before(l.authority) {
 		l.rentMore()
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -30,6 +30,7 @@
 	fleetOrder []*machine // the same by name
 	toSend     []*machine // that commands may wait for
 	provedAt   time.Time
+	gatheredAt time.Time           // see gather
 	listening  time.Time           // without a pause since, see listen
 	listened   time.Time           // when the machines were looked at last
 	scratch    []scheduler.Machine // reused by every view
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -40,6 +40,8 @@
 	idle                time.Time // without tasks since
 	notice              bool
 	releasing           bool
+	emptying            bool      // its replicas move elsewhere, it takes nothing
+	keptAt              time.Time // when there was no room elsewhere for its replicas
 	leaseOut            bool
 	unanswered          bool      // the last command got no answer, and no report came since
 	missed              time.Time // when the first of the commands was sent that got no answer; zero: the last got one
@@ -103,14 +105,20 @@
 // worker may take seconds to find a new leader by itself. Any session will do, a
 // refusal carries the report too.
 func (l *lead) seek(id, addr string) {
-	if at, ok := l.sought[id]; ok && l.c.now.Sub(at) < leadCallTimeout {
+	if at, ok := l.sought[id]; ok && l.c.now.Sub(at) < seekPause {
 		return
 	}
 	l.sought[id] = l.c.now
 	body := wire.Commands{Token: l.token}
-	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body, Timeout: leadCallTimeout}, func(r WorkerReply) {
+	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body, Timeout: seekTimeout}, func(r WorkerReply) {
 		_, gone := l.released[id]
-		if l.c.lead != l || gone || r.Status == 0 || r.Report.Machine != id || r.Report.Token > l.token {
+		if l.c.lead != l || gone || r.Report.Token > l.token {
+			return
+		}
+		if m := l.machines[id]; m != nil && !m.up {
+			m.unanswered = r.Status == 0
+		}
+		if r.Status == 0 || r.Report.Machine != id {
 			return
 		}
 		l.apply(l.machine(id), &r.Report)
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"pumicefront/config"
 	"pumicefront/reduction"
@@ -77,8 +79,8 @@
 	var idle []*machine
 	for _, m := range l.fleetOrder {
 		// A machine is charged for a minute at least: before that nothing is saved.
-		if m.up && !m.releasing && len(m.attempts)+len(m.strays) == 0 && l.c.now.Sub(m.rented) >= leastCharge &&
-			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS) && !l.silent(m) {
+		if m.up && !m.releasing && len(m.attempts)+len(m.strays) == 0 && (m.emptying || l.c.now.Sub(m.rented) >= leastCharge &&
+			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS)) && !l.silent(m) {
 			idle = append(idle, m)
 		}
 	}
@@ -98,6 +100,101 @@
 	return slices.DeleteFunc(idle, func(m *machine) bool { return needed[m.id] })
 }
 
+// gatherEvery is how often a machine is looked for whose replicas have room elsewhere.
+const gatherEvery = 2 * time.Second
+
+// settledFor is how long a replica must have run before it may be moved: a start
+// that is stopped sooner was none.
+const settledFor = 60 * time.Second
+
+// gather empties the machine whose money is spent on fewest replicas, when all of
+// them have room on machines that are in use anyway and have their images, and
+// nothing else has use for the machine. A move costs its user a fraction of a second.
+func (l *lead) gather() {
+	troubled := slices.Contains(slices.Collect(maps.Values(l.cut)), true)
+	if l.c.now.Sub(l.gatheredAt) < gatherEvery || troubled || !l.c.now.Before(l.authority) {
+		return
+	}
+	l.gatheredAt = l.c.now
+	waiting := l.backlog()
+	if slices.ContainsFunc(waiting, func(d *scheduler.Demand) bool { return len(d.Tasks) > 0 }) {
+		return
+	}
+	var best *machine
+	worth := func(m *machine) float64 { return l.price(m) / float64(len(m.list)) }
+	for _, m := range l.fleetOrder {
+		if l.movable(m) && (best == nil || worth(m) > worth(best)) {
+			best = m
+		}
+	}
+	if best == nil {
+		return
+	}
+	if !l.roomWithout(best) {
+		best.keptAt = l.c.now
+		return
+	}
+	l.c.log(slog.LevelInfo, "emptying machine", "machine", best.id, "tasks", len(best.list))
+	best.emptying = true
+	for _, a := range best.list {
+		l.stop(a, graceOf(&a.job.spec))
+	}
+	l.wantPlacement()
+}
+
+// movable tells whether all that a machine runs is replicas that have settled, on
+// no more than half of it.
+func (l *lead) movable(m *machine) bool {
+	if !l.usable(m) || len(m.list) == 0 || len(m.strays) > 0 || l.c.now.Sub(m.keptAt) < settledFor {
+		return false
+	}
+	used := 0.0
+	for _, a := range m.list {
+		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor {
+			return false
+		}
+		used += a.job.spec.CPUs
+	}
+	return 2*used <= l.c.types[m.typ].CPUs
+}
+
+// roomWithout tells whether the others have room for what a machine runs, where its
+// images are, and for all that room is kept for.
+func (l *lead) roomWithout(m *machine) bool {
+	machines := slices.DeleteFunc(l.view(true), func(o *scheduler.Machine) bool { return o.ID == m.id })
+	moved := map[*job][]*attempt{}
+	for _, a := range m.list {
+		moved[a.job] = append(moved[a.job], a)
+	}
+	inUse := slices.DeleteFunc(slices.Clone(machines), func(o *scheduler.Machine) bool {
+		return o.Virtual || len(l.machines[o.ID].list) == 0
+	})
+	for _, j := range l.order {
+		as := moved[j]
+		if len(as) == 0 {
+			continue
+		}
+		d := demandOf(&j.spec)
+		for _, a := range j.attempts {
+			d.InZone[a.machine.zone]++
+		}
+		for _, a := range as {
+			d.InZone[m.zone]--
+			d.Tasks = append(d.Tasks, a.task)
+		}
+		d.RoomInTeam, d.CachedOnly = len(as), true
+		if len(scheduler.Place(inUse, d)) < len(as) {
+			return false
+		}
+	}
+	for _, d := range l.headroom() {
+		if len(scheduler.Place(machines, d)) < len(d.Tasks) {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *lead) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
 
 func priceOf(t wire.MachineType, spot bool) float64 {
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -292,7 +292,7 @@
 func (l *lead) usable(m *machine) bool {
 	// Where commands to many get no answer, the fault is ours, and reports carry them.
 	hears := m.missed.IsZero() || l.cut[""]
-	return m.up && !m.releasing && !m.notice && !m.leaseOut && !l.silent(m) && hears
+	return m.up && !m.releasing && !m.emptying && !m.notice && !m.leaseOut && !l.silent(m) && hears
 }
 
 // view gives the scheduler its picture of the machines; with booting, those that
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -30,8 +30,10 @@
 		case !m.up:
 			if l.bootedTooLong(m) {
 				l.release(m, "never came up")
-			} else if found && len(m.attempts) > 0 && canMove(m) {
+			} else if found && l.overdueSinceElection(m) && canMove(m) {
 				l.release(m, "silent since the election")
+			} else if h := l.c.hints[m.id]; h != nil && h.Addr != "" && len(m.attempts) > 0 {
+				l.seek(m.id, h.Addr)
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
@@ -152,11 +154,8 @@
 }
 
 // mostFound tells whether nearly all machines that an earlier leader placed work on
-// have found us: one that has not should have by now.
+// have found us.
 func (l *lead) mostFound() bool {
-	if l.since(l.elected) <= l.patience()+config.Seconds(2*l.c.cfg.Facts.Workers.ReportS)+time.Second {
-		return false
-	}
 	missing, all := 0, 0
 	for _, o := range l.machines {
 		if len(o.attempts) > 0 {
@@ -169,6 +168,17 @@
 	return missing <= max(1, all/8)
 }
 
+// overdueSinceElection tells whether a machine with work of an earlier leader should
+// have found us by now. One that didn't answer when it was asked is like any other
+// that has fallen silent; where nobody could ask, its worker may still be looking.
+func (l *lead) overdueSinceElection(m *machine) bool {
+	patience := l.patience() + time.Second
+	if !m.unanswered {
+		patience += config.Seconds(2 * l.c.cfg.Facts.Workers.ReportS)
+	}
+	return len(m.attempts) > 0 && l.since(l.elected) > patience
+}
+
 // canMove tells whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
 func canMove(m *machine, machines []*scheduler.Machine) bool {
