A guarantee is made good from what others use beyond theirs, no further

Changed: Preempt stops no more than each team's running tasks use beyond its guarantee.

Test: a team is never stopped below its guarantee.

--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -50,6 +50,7 @@
 	machines := slices.DeleteFunc(slices.Clone(all), func(m *scheduler.Machine) bool { return m.Virtual })
 	demands = scheduler.Turns(demands, l.reserve(machines))
 	used := l.teamUse()
+	excess := l.excess()
 	full := map[classKey]bool{}
 	for _, d := range demands {
 		d.RoomInTeam = l.roomInTeam(d, used)
@@ -63,14 +64,14 @@
 			placed = l.placeSome(all, d) // it had better wait for a machine that suits
 		}
 		if d.Loose && d.Service && d.Rank == 0 {
-			placed += l.placeCached(machines, d, want-placed)
+			placed += l.placeCached(machines, d, want-placed, excess)
 		}
 		placed += l.placeSome(machines, d)
 		used[d.Team] = used[d.Team].Add(d.Each, float64(placed))
 		if placed < want {
 			// No machine takes one more of these: that is decided for the class.
 			full[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
-			l.preempt(machines, d, want-placed)
+			l.preempt(machines, d, want-placed, excess)
 			if d.Waited && placed == 0 {
 				scheduler.Hold(machines, d)
 			}
@@ -91,12 +92,12 @@
 // placeCached places a service, whose image takes longer to fetch than its aim
 // allows, where the image is, and makes room there before it goes elsewhere. It
 // counts what is placed or has room on its way.
-func (l *lead) placeCached(machines []*scheduler.Machine, d *scheduler.Demand, want int) int {
+func (l *lead) placeCached(machines []*scheduler.Machine, d *scheduler.Demand, want int, excess scheduler.Excess) int {
 	d.CachedOnly = true
 	placed := l.placeSome(machines, d)
 	coming := 0
 	if placed < want && l.cachedSomewhere(machines, d) {
-		coming = l.preempt(machines, d, want-placed)
+		coming = l.preempt(machines, d, want-placed, excess)
 	}
 	d.CachedOnly = false
 	d.Tasks, d.RoomInTeam = d.Tasks[coming:], d.RoomInTeam-coming
@@ -278,6 +279,23 @@
 	return used
 }
 
+// excess is what each team uses beyond its guarantee, less what is being stopped.
+func (l *lead) excess() scheduler.Excess {
+	e := scheduler.Excess{}
+	for i := range l.c.cfg.Facts.Teams {
+		t := &l.c.cfg.Facts.Teams[i]
+		e[t.Name] = scheduler.Resources{CPUs: -t.CPUs, GPUs: -t.GPUs}
+	}
+	for _, j := range l.order {
+		for _, a := range j.attempts {
+			if !a.stopping {
+				e.Use(j.terms)
+			}
+		}
+	}
+	return e
+}
+
 func (l *lead) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
 	t := l.c.team(d.Team)
 	if t == nil {
@@ -433,11 +451,11 @@
 
 // preempt stops what has to give way for a demand and counts the tasks that get
 // room by it; a later round places them, once what was stopped is proved gone.
-func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int) int {
+func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int, excess scheduler.Excess) int {
 	if d.Rank > 0 && (!d.Within || d.AgeS < l.guaranteeAim()/2) {
 		return 0 // what is running may make room in time, and loses nothing
 	}
-	victims, room := scheduler.Preempt(machines, d, min(missing, 32), l.c.now)
+	victims, room := scheduler.Preempt(machines, d, min(missing, 32), excess, l.c.now)
 	for _, v := range victims {
 		a := l.jobs[v.Job].attempts[v.Task]
 		l.stop(a, graceOf(&a.job.spec))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -434,12 +434,30 @@
 	loss    float64
 }
 
+// Excess is what each team's running tasks use beyond its guarantee: no more than that
+// may be stopped to give others theirs.
+type Excess map[string]Resources
+
+// covers tells whether a team would still have its guarantee without one such task.
+func (e Excess) covers(t *Terms) bool {
+	left := e[t.Team]
+	return left.CPUs > epsilon && left.CPUs+epsilon >= t.Each.CPUs ||
+		t.Each.GPUs > 0 && left.GPUs+epsilon >= t.Each.GPUs
+}
+
+// Use counts a running task.
+func (e Excess) Use(t *Terms) { e[t.Team] = e[t.Team].Add(t.Each, 1) }
+
+// spend takes a stopped task off.
+func (e Excess) spend(t *Terms) { e[t.Team] = e[t.Team].Add(t.Each, -1) }
+
 // Preempt picks tasks to stop so that up to missing tasks of d fit, and counts
-// those that get room: by it, or because it is becoming free already.
-func Preempt(machines []*Machine, d *Demand, missing int, now time.Time) (victims []Victim, room int) {
+// those that get room: by it, or because it is becoming free already. What it stops
+// is taken off the excess.
+func Preempt(machines []*Machine, d *Demand, missing int, excess Excess, now time.Time) (victims []Victim, room int) {
 	var yields []yield
 	consider := func(m *Machine) {
-		if vs, loss := choose(m, d, m.Free.Add(m.Soon, 1), now); vs != nil {
+		if vs, loss := choose(m, d, m.Free.Add(m.Soon, 1), excess, now); vs != nil {
 			yields = append(yields, yield{m, vs, loss})
 		}
 	}
@@ -469,7 +487,19 @@
 		}
 		y := yields[best]
 		yields = slices.Delete(yields, best, best+1)
+		// What was stopped elsewhere since may have used up a team's excess.
+		if vs, loss := choose(y.m, d, y.m.Free.Add(y.m.Soon, 1), excess, now); vs == nil {
+			continue
+		} else if loss > y.loss {
+			yields = append(yields, yield{y.m, vs, loss})
+			continue
+		}
 		take(y.m, y.victims, d)
+		for _, v := range y.victims {
+			if v.Rank <= d.Rank {
+				excess.spend(v.Terms)
+			}
+		}
 		d.InZone[y.m.Zone]++
 		victims = append(victims, y.victims...)
 		room++
@@ -480,10 +510,10 @@
 
 // choose picks what a machine stops first: of those that d may stop, the lowest
 // priority, then the least work lost.
-func choose(m *Machine, d *Demand, free Resources, now time.Time) ([]Victim, float64) {
+func choose(m *Machine, d *Demand, free Resources, excess Excess, now time.Time) ([]Victim, float64) {
 	var vs []Victim
 	for _, v := range m.Tasks {
-		if v.Rank > d.Rank || d.Within && v.Borrowed && !v.Kept && v.Team != d.Team {
+		if v.Rank > d.Rank || d.Within && v.Borrowed && !v.Kept && v.Team != d.Team && excess.covers(v.Terms) {
 			vs = append(vs, v)
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// A team is never stopped below its guarantee, however many of its jobs go beyond it.
+func TestPreemptLeavesTheGuarantee(t *testing.T) {
+	for _, c := range []struct {
+		excess float64
+		want   int
+	}{{0, 0}, {3, 0}, {4, 1}, {11, 2}, {100, 6}} {
+		ms := machines(6, "x", 4)
+		terms := &Terms{Job: "j", Team: "blue", Rank: 2, Borrowed: true, Each: Resources{CPUs: 4}}
+		for i, m := range ms {
+			m.Free = Resources{MemoryGB: m.Free.MemoryGB}
+			m.Tasks = []Victim{{Terms: terms, Task: i}}
+		}
+		d := demand(6, 4)
+		d.Rank, d.Team, d.Within = 2, "red", true
+		if vs, _ := Preempt(ms, d, 6, Excess{"blue": {CPUs: c.excess}}, time.Time{}); len(vs) != c.want {
+			t.Errorf("%d tasks of 4 cores stopped for an excess of %v, want %d", len(vs), c.excess, c.want)
+		}
+	}
+}
+
 func TestPreempt(t *testing.T) {
 	full := func(terms Terms) []*Machine {
 		ms := machines(1, "x", 4)
@@ -146,7 +166,7 @@
 		"higher priority, its own":  {Terms{Rank: 0, Team: "blue"}, true, false},
 	} {
 		d.Within = c.within
-		vs, room := Preempt(full(c.victim), d, 1, time.Time{})
+		vs, room := Preempt(full(c.victim), d, 1, Excess{"blue": {CPUs: 4}, "red": {CPUs: 4}}, time.Time{})
 		if room == 1 != c.want || len(vs) > 0 != c.want {
 			t.Errorf("%s: %v %v", name, vs, room)
 		}
@@ -154,7 +174,7 @@
 	// Room that is becoming free is kept for one task and stops nothing more.
 	ms := full(Terms{Rank: 3})
 	ms[0].Soon = Resources{CPUs: 2, MemoryGB: 2}
-	if vs, room := Preempt(ms, d, 1, time.Time{}); vs != nil || room != 1 || ms[0].Soon.CPUs != 0 {
+	if vs, room := Preempt(ms, d, 1, nil, time.Time{}); vs != nil || room != 1 || ms[0].Soon.CPUs != 0 {
 		t.Errorf("stopped %v, room for %v, soon %v", vs, room, ms[0].Soon)
 	}
 }
