mesh: a full queue drops the oldest message, not the newest

Cause, from a reading: hints and progress of the whole fleet go to peers that may take nothing for seconds; a promise that came after them was dropped, and the ride through an outage ended.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,6 +1,6 @@
 // Package mesh carries protobuf messages between the controllers over TCP.
-// Nothing is promised: a message that can't be sent at once is dropped, and
-// what matters is asked again by the core.
+// Nothing is promised: where a peer takes nothing the oldest messages are dropped,
+// and what matters is asked again by the core.
 package mesh
 
 import (
@@ -39,12 +39,22 @@
 	return m
 }
 
-// Send queues a message to a peer, or drops it when the queue is full.
+// Send queues a message to a peer. When the queue is full the oldest is dropped: a
+// promise, or an answer that a worker waits for, is worth more than what is late
+// already.
 func (m *Mesh) Send(to string, e *Envelope) {
-	select {
-	case m.queues[to] <- e:
-	default:
-		slog.Debug("mesh message dropped", "peer", to)
+	q := m.queues[to]
+	for {
+		select {
+		case q <- e:
+			return
+		default:
+		}
+		select {
+		case <-q:
+			slog.Debug("mesh message dropped", "peer", to)
+		default:
+		}
 	}
 }
 
