--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -43,8 +43,8 @@
 // promise, or an answer that a worker waits for, is worth more than what is late
 // already.
 func (m *Mesh) Send(to string, e *Envelope) {
-	q := m.queues[to]
-	for {
+	q, known := m.queues[to]
+	for known {
 		select {
 		case q <- e:
 			return
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -10,6 +10,7 @@
 		m.Send("n1", &Envelope{Body: &Envelope_Progress{Progress: &Progress{}}})
 	}
 	m.Send("n1", &Envelope{Body: &Envelope_Promise{Promise: &Promise{Round: 7}}})
+	m.Send("a stranger", &Envelope{}) // who claims to have asked: nothing happens
 	var last *Envelope
 	for range 4 {
 		last = <-m.queues["n1"]
