Replicas move only off machines that a cheaper type would have done for

Where there is one type of machine, what is free beside a few replicas is room for the next ones, which should start within a second.

--- a/controller/returns.go
+++ b/controller/returns.go
@@ -143,14 +143,15 @@
 }
 
 // movable tells whether all that a machine runs is replicas that have settled, on
-// no more than half of it.
+// no more than half of it, and that a cheaper type would have done for. Where there is
+// none, what is free beside them is room for the next, and moving them only costs it.
 func (l *lead) movable(m *machine) bool {
 	if !l.usable(m) || len(m.list) == 0 || len(m.strays) > 0 || l.c.now.Sub(m.keptAt) < settledFor {
 		return false
 	}
 	used := 0.0
 	for _, a := range m.list {
-		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor {
+		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor || !l.fitsCheaper(&a.job.spec, m) {
 			return false
 		}
 		used += a.job.spec.CPUs
@@ -158,6 +159,16 @@
 	return 2*used <= l.c.types[m.typ].CPUs
 }
 
+// fitsCheaper tells whether a task could run on a type that costs less than a machine.
+func (l *lead) fitsCheaper(j *wire.Job, m *machine) bool {
+	for _, t := range l.c.types {
+		if t.Price < l.c.types[m.typ].Price && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && capOf(t).Fits(jobEach(j)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // roomWithout tells whether the others have room for what a machine runs, where its
 // images are, and for all that room is kept for.
 func (l *lead) roomWithout(m *machine) bool {
