A zero in a team's settings says nothing; preemption leaves every guarantee whole

Beside it: with no guarantee in cores any use of them was 'beyond', so a team could be stopped below its guaranteed GPUs; now each resource that the task takes has to be beyond. Tasks that give way together count together, and a machine's victims are chosen once.

Ruled out: a rule for the whole deployment (what no team names is not shared): with one team that has cores and another that has GPUs the second would run nothing.

--- a/config/config.go
+++ b/config/config.go
@@ -68,11 +68,13 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
-// Objective is one aim on starting or finishing.
+// Objective is one aim on starting or finishing. For a deadline it is in multiples
+// of the time that each job has.
 type Objective struct {
 	Kind    string  `toml:"kind"`
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
+	Times   float64 `toml:"times"`
 	Share   float64 `toml:"share"`
 }
 
@@ -203,7 +205,10 @@
 		}
 	}
 	for _, t := range p.Facts.Teams {
-		if t.Name == "" || t.CPUs < 0 || t.GPUs < 0 || t.CPUsMax < t.CPUs || t.GPUsMax < t.GPUs {
+		within := func(guarantee, most float64) bool {
+			return guarantee >= 0 && most >= 0 && (most == 0 || guarantee <= most) // 0: no limit
+		}
+		if t.Name == "" || !within(t.CPUs, t.CPUsMax) || !within(t.GPUs, t.GPUsMax) {
 			return fmt.Errorf("field facts.teams: team %q has no name, or a guarantee outside its limit", t.Name)
 		}
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -53,6 +53,9 @@
 	if err != nil || p.Member != "n0" || p.Facts.Teams[0].CPUsMax != 8 || p.Others[0].Addr != "127.0.0.1:3" {
 		t.Fatalf("%+v %v", p, err)
 	}
+	if _, err := LoadPlatform(write(t, "s.toml", strings.Replace(good, "cpus_max = 8.0", "cpus_max = 0.0", 1))); err != nil {
+		t.Errorf("a guarantee without a limit: %v", err)
+	}
 	for bad, field := range map[string]string{
 		strings.Replace(good, "lease_s = 10.0", "lease_s = 0", 1):                              "facts.workers.lease_s",
 		strings.Replace(good, `state = "127.0.0.1:5"`, `state = "nowhere"`, 1):                 "external.state",
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -374,7 +374,7 @@
 // stops lower work for the others: one round must not count a task twice.
 func TestLateServiceDividesItsTasks(t *testing.T) {
 	c, l, batch := leading(t)
-	c.cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 100, CPUsMax: 100}}
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
 	c.cfg.Facts.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 1}}
 	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, FetchGBps: 0.1, BootS: 20, Zones: []string{"a"}}})
 	up, boots := l.machine("i-1"), l.machine("i-2")
--- a/controller/core.go
+++ b/controller/core.go
@@ -48,6 +48,7 @@
 
 	control  control
 	types    map[string]wire.MachineType
+	quotas   map[string]quota // by team
 	final    finals
 	progress map[string]jobCount
 
@@ -81,12 +82,16 @@
 		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
 		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*0.45*share), max(2, int(st.WriteRPS*0.4*share))),
 		types:       map[string]wire.MachineType{},
+		quotas:      map[string]quota{},
 		progress:    map[string]jobCount{},
 		hints:       map[string]*mesh.Hint{},
 		// An answer that an earlier process of this controller asked for over the mesh
 		// must not be taken for one to us: a worker would get another one's commands.
 		next: rng.Uint64() >> 2,
 	}
+	for _, t := range cfg.Facts.Teams {
+		c.quotas[t.Name] = quotaOf(t)
+	}
 	c.final.init()
 	c.control.init()
 	c.promises.started = now
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"pumicefront/config"
 	"pumicefront/mesh"
 )
 
@@ -58,12 +57,3 @@
 		c.promiseAnswered(e.From, body.Promise)
 	}
 }
-
-func (c *Core) team(name string) *config.Team {
-	for i := range c.cfg.Facts.Teams {
-		if t := &c.cfg.Facts.Teams[i]; t.Name == name {
-			return t
-		}
-	}
-	return nil
-}
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -197,11 +197,12 @@
 	age := l.c.now.Sub(j.accepted).Seconds()
 	n, last := 0, 0.0
 	for _, o := range l.c.cfg.Facts.Objectives {
-		if o.Kind != "finished" || o.Class != j.spec.Class {
+		within, ok := finishWithin(o, &j.spec)
+		if !ok {
 			continue
 		}
-		last = math.Max(last, o.WithinS)
-		if age+j.spec.EstimateS > o.WithinS {
+		last = math.Max(last, within)
+		if age+j.spec.EstimateS > within {
 			n++
 		}
 	}
@@ -211,6 +212,18 @@
 	return n
 }
 
+// finishWithin tells in how many seconds a job should be finished, if an objective
+// says so for its class.
+func finishWithin(o config.Objective, j *wire.Job) (within float64, ok bool) {
+	switch {
+	case o.Class != j.Class:
+		return 0, false
+	case o.Kind == "deadline" && j.DeadlineS != nil:
+		return *j.DeadlineS * o.Times, true
+	}
+	return o.WithinS, o.Kind == "finished"
+}
+
 // workLeft estimates what is left of a job in core seconds.
 func (l *lead) workLeft(j *job) float64 {
 	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * j.spec.CPUs * j.spec.EstimateS
@@ -222,8 +235,7 @@
 	left := j.spec.Tasks - j.state.Count(reduction.Completed)
 	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(left))
 	earlier[j.spec.Team] = sum
-	t := l.c.team(j.spec.Team)
-	return t != nil && sum.CPUs <= t.CPUs+1e-6 && sum.GPUs <= t.GPUs+1e-6
+	return l.c.quotas[j.spec.Team].guarantee.Fits(sum) > 0
 }
 
 // fetchMatters tells whether fetching the image alone would miss the class's
@@ -282,9 +294,8 @@
 // excess is what each team uses beyond its guarantee, less what is being stopped.
 func (l *lead) excess() scheduler.Excess {
 	e := scheduler.Excess{}
-	for i := range l.c.cfg.Facts.Teams {
-		t := &l.c.cfg.Facts.Teams[i]
-		e[t.Name] = scheduler.Resources{CPUs: -t.CPUs, GPUs: -t.GPUs}
+	for team, q := range l.c.quotas {
+		e[team] = q.excess()
 	}
 	for _, j := range l.order {
 		for _, a := range j.attempts {
@@ -297,13 +308,7 @@
 }
 
 func (l *lead) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
-	t := l.c.team(d.Team)
-	if t == nil {
-		return 0
-	}
-	room := scheduler.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax, MemoryGB: math.Inf(1)}.
-		Add(scheduler.Resources{CPUs: used[d.Team].CPUs, GPUs: used[d.Team].GPUs}, -1)
-	return room.Fits(d.Each)
+	return l.c.quotas[d.Team].limit.Add(used[d.Team], -1).Fits(d.Each)
 }
 
 // usable tells whether a machine may be given new work.
--- a/controller/users.go
+++ b/controller/users.go
@@ -256,9 +256,8 @@
 	if j.Kind != wire.KindArray {
 		need = scheduler.Resources{}.Add(need, float64(j.Tasks))
 	}
-	team := c.team(j.Team)
-	if team == nil || need.CPUs > team.CPUsMax+1e-6 || need.GPUs > team.GPUsMax+1e-6 {
-		return false
+	if c.quotas[j.Team].limit.Fits(need) == 0 {
+		return false // an unknown team may use nothing
 	}
 	d := demandOf(j)
 	for _, t := range c.types {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -427,22 +427,27 @@
 	return best
 }
 
-// yield is what a machine would have to stop to take one task.
+// yield is what a machine would lose by taking one more task.
 type yield struct {
-	m       *Machine
-	victims []Victim
-	loss    float64
+	m    *Machine
+	loss float64
 }
 
 // Excess is what each team's running tasks use beyond its guarantee: no more than that
 // may be stopped to give others theirs.
 type Excess map[string]Resources
 
-// covers tells whether a team would still have its guarantee without one such task.
-func (e Excess) covers(t *Terms) bool {
+// covers tells whether a team would still have its guarantee, in each resource that
+// the task takes, once it is stopped and the chosen ones with it.
+func (e Excess) covers(chosen []Victim, t *Terms) bool {
 	left := e[t.Team]
-	return left.CPUs > epsilon && left.CPUs+epsilon >= t.Each.CPUs ||
-		t.Each.GPUs > 0 && left.GPUs+epsilon >= t.Each.GPUs
+	left.MemoryGB = math.Inf(1) // nobody is guaranteed memory
+	for _, v := range chosen {
+		if v.Team == t.Team {
+			left = left.Add(v.Each, -1)
+		}
+	}
+	return left.Fits(t.Each) > 0
 }
 
 // Use counts a running task.
@@ -458,7 +463,7 @@
 	var yields []yield
 	consider := func(m *Machine) {
 		if vs, loss := choose(m, d, m.Free.Add(m.Soon, 1), excess, now); vs != nil {
-			yields = append(yields, yield{m, vs, loss})
+			yields = append(yields, yield{m, loss})
 		}
 	}
 	inZone := maps.Clone(d.InZone)
@@ -488,20 +493,19 @@
 		y := yields[best]
 		yields = slices.Delete(yields, best, best+1)
 		// What was stopped elsewhere since may have used up a team's excess.
-		if vs, loss := choose(y.m, d, y.m.Free.Add(y.m.Soon, 1), excess, now); vs == nil {
-			continue
-		} else if loss > y.loss {
-			yields = append(yields, yield{y.m, vs, loss})
+		vs, loss := choose(y.m, d, y.m.Free.Add(y.m.Soon, 1), excess, now)
+		if loss > y.loss {
+			yields = append(yields, yield{y.m, loss})
+		}
+		if vs == nil || loss > y.loss {
 			continue
 		}
-		take(y.m, y.victims, d)
-		for _, v := range y.victims {
-			if v.Rank <= d.Rank {
-				excess.spend(v.Terms)
-			}
+		take(y.m, vs, d)
+		for _, v := range vs {
+			excess.spend(v.Terms)
 		}
 		d.InZone[y.m.Zone]++
-		victims = append(victims, y.victims...)
+		victims = append(victims, vs...)
 		room++
 		consider(y.m)
 	}
@@ -513,18 +517,23 @@
 func choose(m *Machine, d *Demand, free Resources, excess Excess, now time.Time) ([]Victim, float64) {
 	var vs []Victim
 	for _, v := range m.Tasks {
-		if v.Rank > d.Rank || d.Within && v.Borrowed && !v.Kept && v.Team != d.Team && excess.covers(v.Terms) {
+		if v.Rank > d.Rank || d.Within && v.Borrowed && !v.Kept && v.Team != d.Team {
 			vs = append(vs, v)
 		}
 	}
 	slices.SortFunc(vs, func(a, b Victim) int {
 		return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(a.lost(now), b.lost(now)), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
 	})
+	var chosen []Victim
 	loss := 0.0
-	for i, v := range vs {
+	for _, v := range vs {
+		if v.Rank <= d.Rank && !excess.covers(chosen, v.Terms) {
+			continue
+		}
+		chosen = append(chosen, v)
 		loss += v.lost(now) + 1
 		if free = free.Add(v.Each, 1); free.Fits(d.Each) > 0 {
-			return vs[:i+1], loss
+			return chosen, loss
 		}
 	}
 	return nil, 0
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -315,3 +316,33 @@
 		}
 	}
 }
+
+// Preemption leaves each team its guarantee, in every resource that is guaranteed:
+// one that is used beyond it, or has none at all, does not make up for another, and
+// tasks of one team that give way together on one machine count together.
+func TestPreemptLeavesEveryGuaranteeWhole(t *testing.T) {
+	infinite := math.Inf(1)
+	each := Resources{CPUs: 5, GPUs: 1, MemoryGB: 27}
+	for _, c := range []struct {
+		excess Resources
+		gpus   float64 // that the demand takes at once
+		want   int     // tasks that may be stopped
+	}{
+		{Resources{CPUs: infinite, GPUs: 0}, 1, 0},
+		{Resources{CPUs: infinite, GPUs: 1}, 1, 1},
+		{Resources{CPUs: 100, GPUs: 0}, 1, 0},
+		{Resources{CPUs: 4, GPUs: 9}, 1, 0},
+		{Resources{CPUs: infinite, GPUs: 1}, 2, 0},
+		{Resources{CPUs: infinite, GPUs: 2}, 2, 2},
+	} {
+		m := &Machine{ID: "m", Type: "g", Zone: "x", Cap: Resources{CPUs: 12, GPUs: 2, MemoryGB: 72}}
+		terms := &Terms{Job: "b", Team: "blue", Rank: 2, Borrowed: true, Each: each}
+		m.Tasks = []Victim{{Terms: terms, Task: 0}, {Terms: terms, Task: 1}}
+		d := demand(1, 4)
+		d.Each.GPUs, d.Rank, d.Team, d.Within = c.gpus, 2, "red", true
+		vs, _ := Preempt([]*Machine{m}, d, 1, Excess{"blue": c.excess}, time.Time{})
+		if len(vs) != c.want {
+			t.Errorf("excess %v: %d tasks stopped for %v GPUs, want %d", c.excess, len(vs), c.gpus, c.want)
+		}
+	}
+}
