--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"pumicefront/config"
 	"pumicefront/mesh"
 	"pumicefront/reduction"
