The leader rents for jobs that were turned away

Cause: with 25 changes a second the 400 jobs of the start take 34 s to be accepted (two changes each until they run), and machines were rented as they came in, so that they booted one after the other until second 75. A controller that turns a job away now tells the leader, who rents for it as for any that waits.

Ruled out: several submissions in one record. It would take fewer changes, but a job could then be listed twice and be called queued after it was called done.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -664,3 +664,41 @@
 		}
 	}
 }
+
+// A job that is turned away at any controller is rented for before it is accepted:
+// while few can be accepted, machines would otherwise boot only after the last of
+// them. Once it has come in, or doesn't come again, it counts no more.
+func TestJobsAtTheDoorAreRentedFor(t *testing.T) {
+	c, l, _ := leading(t)
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 8, MemoryGB: 8, Zones: []string{"a"}}})
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
+	job := wire.Job{ID: "req-000007", Team: "red", Kind: wire.KindService, Priority: "prod", Tasks: 3, CPUs: 2}
+	atDoor := func() int {
+		n := 0
+		for _, d := range l.backlog() {
+			if d.Job == job.ID {
+				n += min(len(d.Tasks), d.RoomInTeam)
+			}
+		}
+		return n
+	}
+	c.meshMessage(&mesh.Envelope{From: "n1", Body: &mesh.Envelope_Knocks{Knocks: &mesh.Knocks{Jobs: [][]byte{wire.Marshal(job)}}}})
+	if n := atDoor(); n != 3 {
+		t.Errorf("%d tasks wanted for a job of 3 at another controller's door", n)
+	}
+	l.addJob(job.ID, &headerRecord{Job: job, PerChunk: 10})
+	if n := atDoor(); n != 3 {
+		t.Errorf("%d tasks wanted for a job of 3 that was at the door", n)
+	}
+	delete(l.jobs, job.ID)
+	l.order = nil
+	c.turnAway(UserRequest{Req: 1}, &job)
+	c.tellKnocks()
+	if n := atDoor(); n != 3 {
+		t.Errorf("%d tasks wanted for a job of 3 at the leader's own door", n)
+	}
+	c.now = c.now.Add(2 * knockFor)
+	if n := atDoor(); n != 0 {
+		t.Errorf("%d tasks wanted for a job that does not come again", n)
+	}
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -70,6 +70,7 @@
 	promises   promises
 	relays     relays
 	hints      map[string]*mesh.Hint // by machine, as the last leader told
+	knocks     map[string]*wire.Job  // turned away, to be told to the leader
 }
 
 // timer runs a function once its time has come.
@@ -96,6 +97,7 @@
 		quotas:      map[string]quota{},
 		progress:    map[string]jobCount{},
 		hints:       map[string]*mesh.Hint{},
+		knocks:      map[string]*wire.Job{},
 		// An answer that an earlier process of this controller asked for over the mesh
 		// must not be taken for one to us: a worker would get another one's commands.
 		next: rng.Uint64() >> 2,
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -235,7 +235,7 @@
 // does not wait for a machine to boot where running tasks end sooner than that.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
-	ds := l.demands()
+	ds := append(l.demands(), l.atDoor()...)
 	scheduler.Order(ds)
 	ending := l.endingSoon()
 	for _, d := range ds {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -48,6 +48,7 @@
 	cutAt      map[string]time.Time // when each was seen last
 
 	arrivals []arrival
+	door     map[string]knock
 	fleet    fleet
 	talkedAt time.Time
 	hintedAt time.Time
@@ -154,7 +155,7 @@
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
 		writes: rate.NewLimiter(rate.Limit(st.WriteRPS*leadWrites), max(2, int(st.WriteRPS*burstShare))),
 		chores: rate.NewLimiter(rate.Limit(st.WriteRPS*choreWrites), max(2, int(st.WriteRPS*burstShare))),
-		sought: map[string]time.Time{}, told: map[string]jobCount{}, bumpedAt: c.now, cutAt: map[string]time.Time{},
+		sought: map[string]time.Time{}, told: map[string]jobCount{}, door: map[string]knock{}, bumpedAt: c.now, cutAt: map[string]time.Time{},
 	}
 	l.fleet.init()
 	c.lead = l
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"pumicefront/mesh"
+	"pumicefront/wire"
 )
 
 // members lists all controllers.
@@ -47,6 +48,12 @@
 		for _, h := range body.Progress.Hints {
 			c.hints[h.Machine] = h
 		}
+	case *mesh.Envelope_Knocks:
+		for _, raw := range body.Knocks.Jobs {
+			if j := decode[wire.Job](raw); j != nil {
+				c.knocked(j)
+			}
+		}
 	case *mesh.Envelope_Relay:
 		c.relayAsked(e.From, body.Relay)
 	case *mesh.Envelope_Relayed:
--- a/controller/users.go
+++ b/controller/users.go
@@ -230,7 +230,7 @@
 		return
 	}
 	if !c.writes.AllowN(c.now, 1) {
-		c.later(r.Req, "too many submissions")
+		c.turnAway(r, &job)
 		return
 	}
 	txn := wire.Txn{
@@ -244,6 +244,8 @@
 			c.answer(r.Req, http.StatusCreated, wire.JobState{ID: id, State: wire.StateQueued})
 		case http.StatusConflict:
 			c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+		case http.StatusTooManyRequests:
+			c.turnAway(r, &job)
 		default:
 			c.later(r.Req, "state service not reached")
 		}
