Taken machines are noticed by notice and by list; a service waits before it stops others

On notice the task was left to be killed, then 13.5 s of silence and a refetch followed. Now what can't end in the time left is stopped and begins again at once, and an empty machine with notice is released. A machine without notice that the cloud no longer lists is released after the list's lag instead of after its silence.

Ruled out: waste by images that were evicted unseen (none: what is thought to be cached starts within 1 s).

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -702,3 +702,92 @@
 		t.Errorf("%d tasks wanted for a job that does not come again", n)
 	}
 }
+
+// What runs on a machine that the cloud will take away, and can't end in time, begins
+// again elsewhere at once instead of after the machine's silence; then nothing keeps
+// the machine.
+func TestNoticeMovesWhatCannotEndInTime(t *testing.T) {
+	c, l, j := leading(t)
+	j.spec.EstimateS = 50
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: 7})
+	young, old := place(l, j, 0, m), place(l, j, 1, m)
+	for _, a := range []*attempt{young, old} {
+		a.sent, a.seen, a.running, a.since = true, true, true, c.now
+	}
+	old.since = c.now.Add(-45 * time.Second)
+	left := 20.0
+	tasks := func(as ...*attempt) (ts []wire.Task) {
+		for _, a := range as {
+			ts = append(ts, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskRunning})
+		}
+		return ts
+	}
+	rep := report(m, 7, tasks(young, old)...)
+	rep.NoticeS = &left
+	l.apply(m, rep)
+	if !young.stopping || old.stopping {
+		t.Errorf("with %v s left: stopped the one of 50 s %v, the one of 5 s %v", left, young.stopping, old.stopping)
+	}
+	l.releaseLost()
+	if m.releasing {
+		t.Error("released while a task may end in time")
+	}
+	rep = report(m, 7)
+	rep.NoticeS = &left
+	for _, a := range []*attempt{young, old} {
+		rep.Tasks = append(rep.Tasks, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskExited, Why: wire.WhyStopped})
+	}
+	l.apply(m, rep)
+	if l.releaseLost(); !m.releasing {
+		t.Error("kept though nothing runs on it any more")
+	}
+}
+
+// A machine that was listed and is not any more has been taken, once no list can be
+// from before it was listed; its release is the proof. Its silence would be noticed
+// only after a report's time.
+func TestUnlistedMachineIsReleased(t *testing.T) {
+	c, l, _ := leading(t)
+	lag := config.Seconds(c.cfg.Facts.Cloud.ListLagS)
+	page := func(more bool, ids ...string) wire.MachinePage {
+		p := wire.MachinePage{More: more}
+		for _, id := range ids {
+			p.Machines = append(p.Machines, wire.Machine{ID: id, State: wire.MachineRunning})
+		}
+		return p
+	}
+	for _, it := range page(false, "i-1", "i-2", "i-3", "i-4").Machines {
+		l.listed(it)
+	}
+	l.machine("i-5") // never listed: may be too young
+	c.now = c.now.Add(lag)
+	l.unlisted("", page(false, "i-1"), c.now)
+	if l.machines["i-2"].releasing {
+		t.Error("released by a list that may be from before it was listed")
+	}
+	c.now = c.now.Add(2 * lag)
+	l.unlisted("i-1", page(true, "i-3"), c.now)
+	for id, want := range map[string]bool{"i-1": false, "i-2": true, "i-3": false, "i-4": false, "i-5": false} {
+		if l.machines[id].releasing != want {
+			t.Errorf("%s: released %v by a page from i-1 to i-3 without i-2", id, l.machines[id].releasing)
+		}
+	}
+}
+
+// Where an aim on starting leaves time, a service waits a little for running tasks to
+// end before any is stopped for it; one that its users miss does not.
+func TestServiceWaitsBeforeItStopsOthers(t *testing.T) {
+	c, l, _ := leading(t)
+	c.cfg.Facts.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 60}}
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, FetchGBps: 0.5, Zones: []string{"a"}}})
+	spec := wire.Job{ID: "req-000002", Class: "web", Kind: wire.KindService, Priority: "prod", Tasks: 1, CPUs: 1, ImageGB: 10}
+	l.addJob(spec.ID, &headerRecord{Job: spec, PerChunk: 10})
+	d := demandOf(&spec)
+	if w := l.canWait(d); w != 10 {
+		t.Errorf("waits %v s with an aim of 60 s and a fetch of 20 s", w)
+	}
+	if d.Begun = true; l.canWait(d) > 0 {
+		t.Error("a replica that ran before waits")
+	}
+}
--- a/controller/listing.go
+++ b/controller/listing.go
@@ -45,7 +45,7 @@
 }
 
 func (l *lead) listPage(after string) {
-	f := &l.fleet
+	f, asked := &l.fleet, l.c.now
 	f.listing = l.call(CloudCall{Op: CloudList, After: after}, func(r CloudReply) {
 		f.listing = false
 		if r.Status != http.StatusOK {
@@ -54,12 +54,31 @@
 		for _, m := range r.Page.Machines {
 			l.listed(m)
 		}
+		l.unlisted(after, r.Page, asked)
 		if n := len(r.Page.Machines); r.Page.More && n > 0 {
 			l.listPage(r.Page.Machines[n-1].ID)
 		}
 	})
 }
 
+// unlisted takes in which machines a page leaves out. The list is late by up to
+// twice its lag, and a machine stays listed until it is gone: one that was listed
+// longer ago than that, and is not any more, has been taken. Its silence would tell
+// that only after a report's time. It is no proof: the machine is released.
+func (l *lead) unlisted(after string, page wire.MachinePage, asked time.Time) {
+	there := map[string]bool{}
+	last := after
+	for _, it := range page.Machines {
+		there[it.ID], last = true, it.ID
+	}
+	known := asked.Add(-config.Seconds(2*l.c.cfg.Facts.Cloud.ListLagS) - time.Second)
+	for _, m := range l.fleetOrder {
+		if m.id > after && (m.id <= last || !page.More) && !there[m.id] && !m.listed.IsZero() && m.listed.Before(known) {
+			l.release(m, "not listed any more")
+		}
+	}
+}
+
 func (l *lead) listed(it wire.Machine) {
 	if at, ok := l.released[it.ID]; ok {
 		// Still listed long after its release: it came up late, or the release was lost.
@@ -74,6 +93,9 @@
 		m.since = l.c.now.Add(-config.Seconds(it.AgeS))
 		l.c.log(slog.LevelInfo, "machine found in the list", "machine", it.ID, "type", it.Type, "state", it.State)
 	}
+	if m.listed.IsZero() {
+		m.listed = l.c.now
+	}
 	if !m.up && it.State == wire.MachineRunning && it.Addr != "" && m.addr != it.Addr {
 		l.seek(it.ID, it.Addr) // once; what has died does not answer
 	}
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -38,7 +38,8 @@
 	reported            time.Time // its last report or answer
 	answered            time.Time // our last 200, which may have renewed its lease
 	idle                time.Time // without tasks since
-	notice              bool
+	notice              bool      // the cloud will take it away
+	listed              time.Time // when the cloud's list showed it first
 	releasing           bool
 	emptying            bool      // its replicas move elsewhere, it takes nothing
 	keptAt              time.Time // when there was no room elsewhere for its replicas
@@ -186,8 +187,10 @@
 	m.session, m.seq, m.token, m.reported = rep.Session, rep.Seq, rep.Token, c.now
 	if notice := rep.NoticeS != nil; notice != m.notice {
 		m.notice = notice
-		c.log(slog.LevelInfo, "machine will be taken", "machine", m.id)
-		l.drain(m)
+		if notice {
+			c.log(slog.LevelInfo, "machine will be taken", "machine", m.id)
+			l.drain(m, *rep.NoticeS)
+		}
 	}
 	listed := map[taskKey]bool{}
 	clear(m.strays)
@@ -477,17 +480,29 @@
 	}
 }
 
-// drain moves what loses nothing, or can save, off a machine that will be taken.
-func (l *lead) drain(m *machine) {
+// drain moves off a machine that will be taken all that loses nothing, can save, or
+// can't be expected to end in the seconds that are left: it begins again elsewhere
+// that much sooner.
+func (l *lead) drain(m *machine, left float64) {
 	for _, a := range m.list {
-		j := a.job.spec
-		if j.Kind == wire.KindService || j.CheckpointS > 0 {
-			l.stop(a, graceOf(&j))
+		j := &a.job.spec
+		if j.Kind == wire.KindService || j.CheckpointS > 0 || l.remaining(a) > left {
+			l.stop(a, graceOf(j))
 		}
 	}
 	l.wantPlacement()
 }
 
+// remaining estimates for how many seconds an attempt will go on. One that runs for
+// longer than its owner thought may do so for a while.
+func (l *lead) remaining(a *attempt) float64 {
+	if !a.running {
+		return a.job.spec.EstimateS
+	}
+	ran := l.c.now.Sub(a.since).Seconds()
+	return max(a.job.spec.EstimateS-ran, ran/4)
+}
+
 // graceOf is the time that a stopped task gets to save.
 func graceOf(j *wire.Job) float64 {
 	if j.CheckpointS == 0 {
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -241,13 +241,18 @@
 // fetchMatters tells whether fetching the image alone would miss the class's
 // tightest aim on starting: then its image had better be in many places.
 func (l *lead) fetchMatters(j *wire.Job) bool {
-	within := l.startAim(j)
+	return l.slowestFetch(j) > l.startAim(j)
+}
+
+// slowestFetch is how many seconds a job's image takes where it takes longest.
+func (l *lead) slowestFetch(j *wire.Job) float64 {
+	longest := 0.0
 	for _, t := range l.c.types {
-		if t.FetchGBps > 0 && j.ImageGB/t.FetchGBps > within {
-			return true
+		if t.FetchGBps > 0 && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) {
+			longest = math.Max(longest, j.ImageGB/t.FetchGBps)
 		}
 	}
-	return false
+	return longest
 }
 
 // guaranteeAim is how soon work within a guarantee should start.
@@ -457,7 +462,7 @@
 // preempt stops what has to give way for a demand and counts the tasks that get
 // room by it; a later round places them, once what was stopped is proved gone.
 func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int, excess scheduler.Excess) int {
-	if d.Rank > 0 && (!d.Within || d.AgeS < l.guaranteeAim()/2) {
+	if d.Rank > 0 && !d.Within || d.AgeS < l.canWait(d) {
 		return 0 // what is running may make room in time, and loses nothing
 	}
 	victims, room := scheduler.Preempt(machines, d, min(missing, 32), excess, l.c.now)
@@ -469,6 +474,20 @@
 	return room
 }
 
+// canWait is for how many seconds a demand may wait for running tasks to end by
+// themselves before any is stopped for it: of a service's aim on starting a quarter
+// of what the fetch of its image leaves. What has run before is missed already.
+func (l *lead) canWait(d *scheduler.Demand) float64 {
+	switch {
+	case d.Rank > 0:
+		return l.guaranteeAim() / 2
+	case d.Begun:
+		return 0
+	}
+	spec := &l.jobs[d.Job].spec
+	return (l.startAim(spec) - l.slowestFetch(spec)) / 4
+}
+
 // talk tells the other controllers the counts of tasks, for display.
 func (l *lead) talk() {
 	const every = 500 * time.Millisecond
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -44,6 +44,8 @@
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
+		case m.notice && len(m.attempts)+len(m.strays) == 0:
+			l.release(m, "will be taken")
 		case silence > 3*lease, (silence > l.patience() && m.unanswered || l.deafFor(m) > l.patience()) && blameless(m.zone) && blameless("") && canMove(m):
 			l.release(m, "silent")
 		case (l.late(m) || !m.missed.IsZero()) && !m.calling && !l.c.now.Before(m.probeAt):
