One measure of size: the dominant share, in cores

Cores stood for size in the reserve of what has waited, work left, what ends soon, the fullest machine, the freest to hold and half-empty ones. Where GPUs are what is scarce that breaks into free pairs of GPUs. Now scheduler.Measure, taken from the machine types, decides everywhere; without GPUs it is cores, as before.

--- a/controller/control.go
+++ b/controller/control.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
@@ -233,7 +234,15 @@
 
 func (c *Core) setTypes(types []wire.MachineType) {
 	clear(c.types)
+	var all scheduler.Resources
 	for _, t := range types {
 		c.types[t.Name] = t
+		if t.GPUs > 0 {
+			all = all.Add(capOf(t), 1)
+		}
+	}
+	c.measure = 0
+	if all.GPUs > 0 {
+		c.measure = scheduler.Measure(all.CPUs / all.GPUs)
 	}
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -783,7 +783,7 @@
 	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, FetchGBps: 0.5, Zones: []string{"a"}}})
 	spec := wire.Job{ID: "req-000002", Class: "web", Kind: wire.KindService, Priority: "prod", Tasks: 1, CPUs: 1, ImageGB: 10}
 	l.addJob(spec.ID, &headerRecord{Job: spec, PerChunk: 10})
-	d := demandOf(&spec)
+	d := l.c.demandOf(&spec)
 	if w := l.canWait(d); w != 10 {
 		t.Errorf("waits %v s with an aim of 60 s and a fetch of 20 s", w)
 	}
--- a/controller/core.go
+++ b/controller/core.go
@@ -10,6 +10,7 @@
 
 	"pumicefront/config"
 	"pumicefront/mesh"
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
@@ -60,6 +61,7 @@
 	control  control
 	types    map[string]wire.MachineType
 	quotas   map[string]quota // by team
+	measure  scheduler.Measure
 	final    finals
 	progress map[string]jobCount
 
--- a/controller/door.go
+++ b/controller/door.go
@@ -72,7 +72,7 @@
 			delete(l.door, id)
 			continue
 		}
-		d := demandOf(k.spec)
+		d := l.c.demandOf(k.spec)
 		d.Within, d.Tasks = true, make([]int, d.Total)
 		ds = append(ds, d)
 	}
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -239,9 +239,9 @@
 	scheduler.Order(ds)
 	ending := l.endingSoon()
 	for _, d := range ds {
-		if d.Rank > 0 && !d.Service && d.Each.CPUs > 0 {
-			n := min(int(ending/d.Each.CPUs), len(d.Tasks))
-			ending -= float64(n) * d.Each.CPUs
+		if size := d.Measure.Of(d.Each); d.Rank > 0 && !d.Service && size > 0 {
+			n := min(int(ending/size), len(d.Tasks))
+			ending -= float64(n) * size
 			d.Tasks = d.Tasks[n:]
 		}
 		d.RoomInTeam = l.roomInTeam(d, used)
@@ -251,25 +251,25 @@
 	return append(ds, l.doubtful()...)
 }
 
-// endingSoon estimates the cores that running batch tasks give back before a
+// endingSoon estimates the size of what running batch tasks give back before a
 // machine rented now would be up.
 func (l *lead) endingSoon() float64 {
 	boot := math.Inf(1)
 	for _, t := range l.c.types {
 		boot = math.Min(boot, t.BootS)
 	}
-	cores := 0.0
+	room := 0.0
 	for _, j := range l.order {
 		if j.spec.Kind == wire.KindService {
 			continue
 		}
 		for _, a := range j.attempts {
 			if a.running && j.spec.EstimateS-l.c.now.Sub(a.since).Seconds() < boot {
-				cores += j.spec.CPUs
+				room += l.c.measure.Of(jobEach(&j.spec))
 			}
 		}
 	}
-	return cores
+	return room
 }
 
 // rent records a request under a name that is never used again, then makes it.
@@ -319,7 +319,7 @@
 		if n == 0 {
 			continue
 		}
-		d := demandOf(&p.spec)
+		d := l.c.demandOf(&p.spec)
 		d.Job, d.Zone, d.OneZone, d.Spread, d.Gang = "headroom/"+class, "", false, false, false
 		d.Total, d.RoomInTeam, d.AgeS, d.Others = n, n, -1, l.otherClasses(class)
 		d.Tasks = make([]int, n)
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -89,9 +89,9 @@
 }
 
 // demandOf holds what of a demand follows from the job's description.
-func demandOf(j *wire.Job) *scheduler.Demand {
+func (c *Core) demandOf(j *wire.Job) *scheduler.Demand {
 	return &scheduler.Demand{
-		Job: j.ID, Class: j.Class, Team: j.Team, Total: j.Tasks, Each: jobEach(j), Types: j.Types, Zone: j.Zone,
+		Job: j.ID, Class: j.Class, Team: j.Team, Total: j.Tasks, Each: jobEach(j), Measure: c.measure, Types: j.Types, Zone: j.Zone,
 		OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.Image,
 		Rank: slices.Index(wire.Priorities, j.Priority), Service: j.Kind == wire.KindService, Gang: j.Kind == wire.KindGang,
 		InZone: map[string]int{},
--- a/controller/quota_test.go
+++ b/controller/quota_test.go
@@ -47,7 +47,7 @@
 	if service.Kind, service.Tasks = wire.KindService, 8; c.canRun(&service) {
 		t.Error("a service of 8 GPUs is accepted for a limit of 7")
 	}
-	if room := l.roomInTeam(demandOf(&spec), map[string]scheduler.Resources{"red": {CPUs: 500, GPUs: 5}}); room != 2 {
+	if room := l.roomInTeam(l.c.demandOf(&spec), map[string]scheduler.Resources{"red": {CPUs: 500, GPUs: 5}}); room != 2 {
 		t.Errorf("room for %d tasks with 5 of 7 GPUs used", room)
 	}
 	earlier := map[string]scheduler.Resources{}
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -154,9 +154,9 @@
 		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor || !l.fitsCheaper(&a.job.spec, m) {
 			return false
 		}
-		used += a.job.spec.CPUs
+		used += l.c.measure.Of(jobEach(&a.job.spec))
 	}
-	return 2*used <= l.c.types[m.typ].CPUs
+	return 2*used <= l.c.measure.Of(capOf(l.c.types[m.typ]))
 }
 
 // fitsCheaper tells whether a task could run on a type that costs less than a machine.
@@ -185,7 +185,7 @@
 		if len(as) == 0 {
 			continue
 		}
-		d := demandOf(&j.spec)
+		d := l.c.demandOf(&j.spec)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -137,7 +137,7 @@
 		if verdict != reduction.Progressing || j.spec.Kind == wire.KindGang && len(j.attempts) > 0 {
 			continue
 		}
-		d := demandOf(&j.spec)
+		d := l.c.demandOf(&j.spec)
 		for _, t := range frontier {
 			if j.attempts[t] == nil && !l.c.now.Before(j.retryAt[t]) {
 				d.Tasks = append(d.Tasks, t)
@@ -168,7 +168,7 @@
 	serveAfter = 120 * time.Second // not all of it has
 )
 
-// reserveShare is the part of all cores that may be taken by what has waited.
+// reserveShare is the part of all machines that may be taken by what has waited.
 const reserveShare = 1.0 / 8
 
 func (l *lead) waited(j *job) bool {
@@ -176,18 +176,18 @@
 	return !j.begun && age > beginAfter || age > serveAfter
 }
 
-// reserve is what is left of the cores kept for work that has waited.
+// reserve is the size of what is left of that.
 func (l *lead) reserve(machines []*scheduler.Machine) float64 {
-	cores := 0.0
+	left := 0.0
 	for _, m := range machines {
-		cores += m.Cap.CPUs * reserveShare
+		left += l.c.measure.Of(m.Cap) * reserveShare
 	}
 	for _, j := range l.order {
 		if l.c.now.Sub(j.accepted) > serveAfter && j.spec.Kind != wire.KindService {
-			cores -= float64(len(j.attempts)) * j.spec.CPUs
+			left -= float64(len(j.attempts)) * l.c.measure.Of(jobEach(&j.spec))
 		}
 	}
-	return max(cores, 0)
+	return max(left, 0)
 }
 
 // missed counts the aims on finishing that a job can't meet any more. One that has
@@ -224,9 +224,9 @@
 	return o.WithinS, o.Kind == "finished"
 }
 
-// workLeft estimates what is left of a job in core seconds.
+// workLeft estimates what is left of a job: the sizes of its tasks times seconds.
 func (l *lead) workLeft(j *job) float64 {
-	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * j.spec.CPUs * j.spec.EstimateS
+	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * l.c.measure.Of(jobEach(&j.spec)) * j.spec.EstimateS
 }
 
 // within tells whether a job fits into its team's guarantee together with the
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -27,7 +27,7 @@
 				}
 			}
 		}
-		return canMove(m, elsewhere)
+		return l.canMove(m, elsewhere)
 	}
 	found := l.mostFound()
 	for _, m := range l.fleetOrder {
@@ -192,9 +192,9 @@
 
 // canMove tells whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
-func canMove(m *machine, machines []*scheduler.Machine) bool {
+func (l *lead) canMove(m *machine, machines []*scheduler.Machine) bool {
 	for _, a := range m.list {
-		d := demandOf(&a.job.spec)
+		d := l.c.demandOf(&a.job.spec)
 		d.Tasks, d.RoomInTeam = []int{a.task}, 1
 		if d.Rank == 0 && len(scheduler.Place(machines, d)) == 0 {
 			return false
@@ -228,7 +228,7 @@
 			continue
 		}
 		for _, a := range m.list {
-			if d := demandOf(&a.job.spec); d.Service && !a.job.cancelled {
+			if d := l.c.demandOf(&a.job.spec); d.Service && !a.job.cancelled {
 				d.Tasks, d.RoomInTeam = []int{a.task}, 1
 				ds = append(ds, d)
 			}
--- a/controller/users.go
+++ b/controller/users.go
@@ -261,7 +261,7 @@
 	if c.quotas[j.Team].limit.Fits(need) == 0 {
 		return false // an unknown team may use nothing
 	}
-	d := demandOf(j)
+	d := c.demandOf(j)
 	for _, t := range c.types {
 		for _, zone := range t.Zones {
 			if d.Allows(t.Name, zone, false) && capOf(t).Fits(d.Each) > 0 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,13 @@
 	return int(math.Max(0, math.Min(n, 1<<20)))
 }
 
+// Measure tells the size of what differs in kind: the dominant share, in cores. It is
+// how many cores come with one GPU; 0 where there are no GPUs, and cores alone count.
+type Measure float64
+
+// Of returns the size of r.
+func (m Measure) Of(r Resources) float64 { return math.Max(r.CPUs, r.GPUs*float64(m)) }
+
 // Machine is a machine as a round of placement sees it.
 type Machine struct {
 	ID, Type, Zone string
@@ -83,6 +90,7 @@
 	Tasks            []int // pending, in order
 	Total            int
 	Each             Resources
+	Measure          Measure
 	Types            []string
 	Zone             string
 	OneZone, Spread  bool
@@ -100,7 +108,7 @@
 	Begun            bool           // a task has run
 	Waited           bool           // for so long that waiting wins, see Turns
 	Late             int            // aims on finishing that it can't meet any more
-	WorkS            float64        // what is left of it, in core seconds
+	WorkS            float64        // what is left of it: sizes of tasks times seconds
 	InZone           map[string]int // tasks in force by zone
 	RoomInTeam       int            // tasks that the team's limit still allows
 	Avoid            map[string]bool
@@ -159,16 +167,16 @@
 
 // Turns orders demands so that nobody is starved: least work first would put off
 // the largest jobs for as long as smaller ones come. What has waited for too long
-// comes first, but takes no more than the reserve, in cores, that is left for
+// comes first, but takes no more than the reserve, a size, that is left for
 // such work, or one task to begin with; the rest of it keeps its place.
 func Turns(ds []*Demand, reserve float64) []*Demand {
 	var out []*Demand
 	slices.SortStableFunc(ds, func(a, b *Demand) int { return cmp.Compare(b.turn(), a.turn()) })
 	for _, d := range ds {
-		n := len(d.Tasks)
-		if d.Waited && urgent(d) > 0 && !d.Gang && d.Each.CPUs > 0 {
-			n = min(n, max(int(reserve/d.Each.CPUs), 1-flag(d.Begun)))
-			reserve -= float64(n) * d.Each.CPUs
+		n, size := len(d.Tasks), d.Measure.Of(d.Each)
+		if d.Waited && urgent(d) > 0 && !d.Gang && size > 0 {
+			n = min(n, max(int(reserve/size), 1-flag(d.Begun)))
+			reserve -= float64(n) * size
 		}
 		if n < len(d.Tasks) {
 			rest := *d
@@ -200,7 +208,7 @@
 	}
 	// The freest first: what is held only becomes freer, so the choice stays.
 	slices.SortStableFunc(fit, func(a, b *Machine) int {
-		return cmp.Or(cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(d.Measure.Of(b.Free), d.Measure.Of(a.Free)), cmp.Compare(a.ID, b.ID))
 	})
 	zone := ""
 	for _, m := range fit {
@@ -293,10 +301,11 @@
 	}
 	c = cmp.Or(c, cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary),
 		cmp.Compare(a.crowded, b.crowded))
+	fuller := cmp.Compare(d.Measure.Of(a.Free), d.Measure.Of(b.Free))
 	if d.Loose {
-		return cmp.Or(c, cmp.Compare(b.Free.CPUs, a.Free.CPUs), cmp.Compare(a.ID, b.ID))
+		fuller = -fuller
 	}
-	return cmp.Or(c, cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(c, fuller, cmp.Compare(a.ID, b.ID))
 }
 
 // crowds counts the tasks of other classes that no longer fit on a machine once
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -346,3 +346,21 @@
 		}
 	}
 }
+
+// Where GPUs are what is scarce, cores alone would take a machine with few cores left
+// and both GPUs for the fuller one, and break into it.
+func TestPlaceMeasuresByTheDominantShare(t *testing.T) {
+	ms := machines(2, "x", 12)
+	ms[0].Free, ms[1].Free = Resources{CPUs: 5, GPUs: 2, MemoryGB: 64}, Resources{CPUs: 8, GPUs: 1, MemoryGB: 64}
+	ms[1].Part = ms[0].Part
+	d := demand(1, 4)
+	d.Each.GPUs = 1
+	for measure, want := range map[Measure]*Machine{0: ms[0], 6: ms[1]} {
+		d.Measure = measure
+		p := Place(slices.Clone(ms), d)
+		if len(p) != 1 || p[0].Machine != want {
+			t.Errorf("%v cores to a GPU: %+v", measure, p)
+		}
+		p[0].Machine.Free = p[0].Machine.Free.Add(d.Each, 1)
+	}
+}
