Work whose deadline leaves no time for it does not wait for running tasks to end

The deadlines leave some 23 s beside a run half as long again as estimated. Such work is now rented for at once.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -791,3 +791,29 @@
 		t.Error("a replica that ran before waits")
 	}
 }
+
+// Batch work waits for running tasks that end before a machine boots, unless its
+// deadline leaves no time for that.
+func TestHastyWorkIsRentedFor(t *testing.T) {
+	c, l, running := leading(t)
+	c.cfg.Facts.Objectives = []config.Objective{{Kind: "deadline", Class: "train", Times: 1.5}, {Kind: "deadline", Class: "train", Times: 1}}
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, FetchGBps: 0.5, BootS: 30, Zones: []string{"a"}}})
+	running.spec.EstimateS, running.attempts[0] = 10, &attempt{job: running, machine: l.machine("i-1"), running: true, since: c.now}
+	running.state.Start(0)
+	running.state.Start(1)
+	for due, want := range map[float64]int{200: 0, 100: 1} {
+		spec := wire.Job{ID: "req-000002", Class: "train", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1,
+			EstimateS: 50, ImageGB: 5, DeadlineS: &due}
+		l.addJob(spec.ID, &headerRecord{Job: spec, PerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+		n := 0
+		for _, d := range l.backlog() {
+			n += len(d.Tasks)
+		}
+		if n != want {
+			t.Errorf("%d tasks to rent for with %v s for 75 s of work and 10 s of fetch, want %d", n, due, want)
+		}
+		delete(l.jobs, spec.ID)
+		l.order = l.order[:1]
+	}
+}
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -232,14 +232,15 @@
 }
 
 // backlog lists the demands that wait for room which has to be rented: batch work
-// does not wait for a machine to boot where running tasks end sooner than that.
+// does not wait for a machine to boot where running tasks end sooner than that and
+// its aims leave the time.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
 	ds := append(l.demands(), l.atDoor()...)
 	scheduler.Order(ds)
 	ending := l.endingSoon()
 	for _, d := range ds {
-		if size := d.Measure.Of(d.Each); d.Rank > 0 && !d.Service && size > 0 {
+		if size := d.Measure.Of(d.Each); d.Rank > 0 && !d.Service && !d.Hasty && size > 0 {
 			n := min(int(ending/size), len(d.Tasks))
 			ending -= float64(n) * size
 			d.Tasks = d.Tasks[n:]
@@ -381,15 +382,21 @@
 	return deviations * math.Sqrt(squares*boot/surgeWindow.Seconds())
 }
 
-// headroomShare weighs boot time against the tightest aim on starting: where a
-// machine can be rented in time, no room need be kept.
-func (l *lead) headroomShare(j *wire.Job) float64 {
+// soonestBoot is how many seconds a machine that a job may use takes to boot at least.
+func (l *lead) soonestBoot(j *wire.Job) float64 {
 	boot := math.Inf(1)
 	for _, t := range l.c.types {
 		if len(j.Types) == 0 || slices.Contains(j.Types, t.Name) {
 			boot = math.Min(boot, t.BootS)
 		}
 	}
+	return boot
+}
+
+// headroomShare weighs boot time against the tightest aim on starting: where a
+// machine can be rented in time, no room need be kept.
+func (l *lead) headroomShare(j *wire.Job) float64 {
+	boot := l.soonestBoot(j)
 	within := l.startAim(j)
 	if math.IsInf(boot, 1) || math.IsInf(within, 1) {
 		return 0
