--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -542,17 +542,20 @@
 		cached  bool
 		batch   bool
 		cheaper float64 // what another type costs
+		within  float64 // the aim on starting, where a machine boots in 10 s
 		emptied int
 	}{
-		{"room elsewhere", 2 * time.Minute, true, false, 0.5, 1},
-		{"just started", time.Second, true, false, 0.5, 0},
-		{"image elsewhere missing", 2 * time.Minute, false, false, 0.5, 0},
-		{"batch work beside it", 2 * time.Minute, true, true, 0.5, 0},
-		{"no type is cheaper", 2 * time.Minute, true, false, 1.5, 0},
+		{"room elsewhere", 2 * time.Minute, true, false, 0.5, 2, 1},
+		{"just started", time.Second, true, false, 0.5, 2, 0},
+		{"image elsewhere missing", 2 * time.Minute, false, false, 0.5, 2, 0},
+		{"batch work beside it", 2 * time.Minute, true, true, 0.5, 2, 0},
+		{"no type is cheaper", 2 * time.Minute, true, false, 1.5, 2, 0},
+		{"none is, and one boots in time", 2 * time.Minute, true, false, 1.5, 20, 1},
 	} {
 		core, l, _ := leading(t)
-		core.types["t"] = wire.MachineType{Name: "t", CPUs: 8, Price: 1}
-		core.types["s"] = wire.MachineType{Name: "s", CPUs: 2, Price: c.cheaper}
+		core.types["t"] = wire.MachineType{Name: "t", CPUs: 8, Price: 1, BootS: 10}
+		core.types["s"] = wire.MachineType{Name: "s", CPUs: 2, Price: c.cheaper, BootS: 10}
+		core.cfg.Facts.Objectives = []config.Objective{{Kind: "guarantee", WithinS: c.within}}
 		core.cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 100, CPUsMax: 100}}
 		l.order, l.jobs = nil, map[string]*job{}
 		run := func(id, kind string, m *machine) *attempt {
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -382,14 +382,23 @@
 	return deviations * math.Sqrt(squares*boot/surgeWindow.Seconds())
 }
 
-// soonestBoot is how many seconds a machine that a job may use takes to boot at least.
-func (l *lead) soonestBoot(j *wire.Job) float64 {
-	boot := math.Inf(1)
+// typesFor lists the machine types that a job may use.
+func (l *lead) typesFor(j *wire.Job) []wire.MachineType {
+	var ts []wire.MachineType
 	for _, t := range l.c.types {
 		if len(j.Types) == 0 || slices.Contains(j.Types, t.Name) {
-			boot = math.Min(boot, t.BootS)
+			ts = append(ts, t)
 		}
 	}
+	return ts
+}
+
+// soonestBoot is how many seconds a machine that a job may use takes to boot at least.
+func (l *lead) soonestBoot(j *wire.Job) float64 {
+	boot := math.Inf(1)
+	for _, t := range l.typesFor(j) {
+		boot = math.Min(boot, t.BootS)
+	}
 	return boot
 }
 
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -144,14 +144,16 @@
 
 // movable tells whether all that a machine runs is replicas that have settled, on
 // no more than half of it, and that a cheaper type would have done for. Where there is
-// none, what is free beside them is room for the next, and moving them only costs it.
+// none, what is free beside them is room for the next, and moving them only costs it,
+// unless a machine boots in time for the next.
 func (l *lead) movable(m *machine) bool {
 	if !l.usable(m) || len(m.list) == 0 || len(m.strays) > 0 || l.c.now.Sub(m.keptAt) < settledFor {
 		return false
 	}
 	used := 0.0
 	for _, a := range m.list {
-		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor || !l.fitsCheaper(&a.job.spec, m) {
+		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor ||
+			!l.fitsCheaper(&a.job.spec, m) && l.headroomShare(&a.job.spec) > 0 {
 			return false
 		}
 		used += l.c.measure.Of(jobEach(&a.job.spec))
@@ -161,12 +163,9 @@
 
 // fitsCheaper tells whether a task could run on a type that costs less than a machine.
 func (l *lead) fitsCheaper(j *wire.Job, m *machine) bool {
-	for _, t := range l.c.types {
-		if t.Price < l.c.types[m.typ].Price && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && capOf(t).Fits(jobEach(j)) > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.typesFor(j), func(t wire.MachineType) bool {
+		return t.Price < l.c.types[m.typ].Price && capOf(t).Fits(jobEach(j)) > 0
+	})
 }
 
 // roomWithout tells whether the others have room for what a machine runs, where its
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -261,8 +261,8 @@
 // slowestFetch is how many seconds a job's image takes where it takes longest.
 func (l *lead) slowestFetch(j *wire.Job) float64 {
 	longest := 0.0
-	for _, t := range l.c.types {
-		if t.FetchGBps > 0 && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) {
+	for _, t := range l.typesFor(j) {
+		if t.FetchGBps > 0 {
 			longest = math.Max(longest, j.ImageGB/t.FetchGBps)
 		}
 	}
