--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -820,3 +820,34 @@
 		l.order = l.order[:1]
 	}
 }
+
+// A new leader knows machines from the records of rentals. One that was returned since
+// must not pass for booting until its time to boot is over: nothing would be rented
+// meanwhile. Nor may counts, which never end, keep those records from being removed.
+func TestOldRentalsDoNotPassForBooting(t *testing.T) {
+	c, l, _ := leading(t)
+	l.fleet.restore(l, []wire.Item{{Key: "h/r-1-1", Version: 3, Value: wire.Marshal(hireRecord{
+		Rent: wire.Rent{Request: "r-1-1", Type: "t", Zone: "a", Count: 1}, Answered: true, Machines: []string{"i-9"}})}})
+	c.now = c.now.Add(config.Seconds(2*c.cfg.Facts.Cloud.ListLagS) + 2*time.Second)
+	l.unlisted("", wire.MachinePage{}, c.now)
+	if m := l.machines["i-9"]; !m.releasing {
+		t.Error("a machine of an old rental that is not listed still counts as booting")
+	}
+	l.forgetMachine("i-9")
+	l.askHires()
+	for n := range 200 {
+		id := fmt.Sprintf("req-1%05d", n)
+		l.addJob(id, &headerRecord{PerChunk: 10, Job: wire.Job{ID: id, Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: 1}})
+	}
+	for range 20 {
+		c.now = c.now.Add(100 * time.Millisecond)
+		l.authority = c.now.Add(time.Second)
+		for _, j := range l.order {
+			j.chunks[0].dirty, j.dirty, j.pressing, j.dirtyAt, j.write = true, true, false, c.now.Add(-time.Minute), nil
+		}
+		l.flush()
+	}
+	if len(l.orphans) > 0 {
+		t.Errorf("%v is never swept while there are counts to write", l.orphans)
+	}
+}
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -178,7 +178,11 @@
 		if _, gone := l.released[id]; gone {
 			continue
 		}
-		if m := l.machine(id); !m.up {
+		m := l.machine(id)
+		if m.listed.IsZero() {
+			m.listed = l.c.now // it exists by now: a list of a later time shows it
+		}
+		if !m.up {
 			m.typ, m.zone, m.spot, m.rented = h.rent.Type, h.rent.Zone, h.rent.Spot, h.since
 		}
 	}
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -303,7 +303,12 @@
 		}
 		return a.dirtyAt.Compare(b.dirtyAt)
 	})
+	swept := false
 	for _, j := range due {
+		if !j.pressing && !swept { // counts never end: what comes after them would never be swept
+			l.sweep()
+			swept = true
+		}
 		if !l.mayWrite(1, j.pressing) { // before anything is encoded in vain
 			l.pauseWrites(20 * time.Millisecond)
 			return
@@ -323,7 +328,9 @@
 		j.write = w
 		l.send(j)
 	}
-	l.sweep()
+	if !swept {
+		l.sweep()
+	}
 }
 
 // mayWrite tells whether the budget has n changes left.
@@ -567,9 +574,11 @@
 
 // sweep removes task records whose job is over, a transaction at a time.
 func (l *lead) sweep() {
-	// More than a burst would never be allowed, and none of them ever removed.
-	n := min(len(l.orphans), l.c.cfg.Facts.State.TxnOps, l.chores.Burst())
-	if n == 0 || !l.mayWrite(n, false) {
+	// As many as there is budget for: more than a burst would never be allowed, and
+	// none of them ever removed.
+	left := min(l.writes.TokensAt(l.c.now), l.chores.TokensAt(l.c.now))
+	n := min(len(l.orphans), l.c.cfg.Facts.State.TxnOps, int(left))
+	if n <= 0 {
 		return
 	}
 	l.countWrites(n, false)
--- a/controller/listing.go
+++ b/controller/listing.go
@@ -62,9 +62,10 @@
 }
 
 // unlisted takes in which machines a page leaves out. The list is late by up to
-// twice its lag, and a machine stays listed until it is gone: one that was listed
-// longer ago than that, and is not any more, has been taken. Its silence would tell
-// that only after a report's time. It is no proof: the machine is released.
+// twice its lag, and a machine stays listed until it is gone: one that was listed or
+// rented longer ago than that, and is not listed, is gone. Its silence would tell that
+// only after a report's time; and a new leader, who finds it in the record of a rental
+// of long ago, would take it for one that boots. It is no proof: it is released.
 func (l *lead) unlisted(after string, page wire.MachinePage, asked time.Time) {
 	there := map[string]bool{}
 	last := after
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -39,7 +39,7 @@
 	answered            time.Time // our last 200, which may have renewed its lease
 	idle                time.Time // without tasks since
 	notice              bool      // the cloud will take it away
-	listed              time.Time // when the cloud's list showed it first
+	listed              time.Time // since when the cloud's list must show it; zero: not known
 	releasing           bool
 	emptying            bool      // its replicas move elsewhere, it takes nothing
 	keptAt              time.Time // when there was no room elsewhere for its replicas
