--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -58,7 +58,7 @@
 	r := controller.CloudReply{Status: http.StatusOK}
 	switch call.Op {
 	case controller.CloudTypes:
-		r.Types.Types = types()
+		r.Types.Types = c.w.shape.types()
 	case controller.CloudRent:
 		names, ok := c.rent(call.Rent)
 		if !ok {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -335,7 +335,9 @@
 		h.exit(t, wire.WhyUnknown)
 		return
 	}
-	used := j.spec.CPUs
+	free := h.size()
+	takes := func(s *wire.Job) { free.CPUs, free.GPUs = free.CPUs-s.CPUs, free.GPUs-s.GPUs }
+	takes(&j.spec)
 	for _, o := range h.tasks {
 		if o == t || o.state == wire.TaskExited {
 			continue
@@ -344,9 +346,9 @@
 			h.exit(t, wire.WhyBusy)
 			return
 		}
-		used += o.job.spec.CPUs
+		takes(&o.job.spec)
 	}
-	if used > h.cpus() {
+	if min(free.CPUs, free.GPUs) < -1e-6 {
 		h.exit(t, wire.WhyNoRoom)
 		return
 	}
@@ -357,13 +359,9 @@
 	h.later(t, fetch, func() { h.start(t, j) })
 }
 
-func (h *host) cpus() float64 {
-	for _, t := range types() {
-		if t.Name == h.typ {
-			return t.CPUs
-		}
-	}
-	return 0
+func (h *host) size() wire.MachineType {
+	types := h.w.shape.types()
+	return types[slices.IndexFunc(types, func(t wire.MachineType) bool { return t.Name == h.typ })]
 }
 
 // later goes on with a task that is still there.
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -27,7 +27,7 @@
 func (w *World) checkStart(h *host, t *task, j *simJob) {
 	w.Log("%v %s starts %s attempt %d", w.now, h.id, t.id, t.attempt)
 	j.begun = true
-	used := j.spec.CPUs
+	cores, gpus := j.spec.CPUs, j.spec.GPUs
 	zones := map[string]int{h.zone: 1}
 	w.running(func(oh *host, o *task) {
 		oj := o.job
@@ -35,14 +35,15 @@
 			w.broken("ran_twice", "%s attempt %d starts on %s, attempt %d is on %s", t.id, t.attempt, h.id, o.attempt, oh.id)
 		}
 		if oj.spec.Team == j.spec.Team {
-			used += oj.spec.CPUs
+			cores, gpus = cores+oj.spec.CPUs, gpus+oj.spec.GPUs
 		}
 		if oj == j {
 			zones[oh.zone]++
 		}
 	})
-	if team := w.team(j.spec.Team); used > team.CPUsMax+1e-6 {
-		w.broken("quota", "team %s uses %v of %v", team.Name, used, team.CPUsMax)
+	beyond := func(used, limit float64) bool { return limit > 0 && used > limit+1e-6 }
+	if team := w.team(j.spec.Team); beyond(cores, team.CPUsMax) || beyond(gpus, team.GPUsMax) {
+		w.broken("quota", "team %s uses %v of %v cores, %v of %v GPUs", team.Name, cores, team.CPUsMax, gpus, team.GPUsMax)
 	}
 	w.checkPlace(h, t, j, zones)
 	if j.cancelTold && w.now > j.cancelledAt+w.cancelTime() {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"pumicefront/config"
 	"pumicefront/controller"
 	"pumicefront/wire"
 )
@@ -42,6 +44,14 @@
 // TestFleetDays plays days of the fleets' shape. PUMICEFRONT_FLEET=N plays more.
 func TestFleetDays(t *testing.T) { playDays(t, "PUMICEFRONT_FLEET", 1, Fleet) }
 
+// TestHallDays plays days on which GPUs are shared, by teams with GPUs alone, cores
+// alone and both. PUMICEFRONT_HALL=N plays more.
+func TestHallDays(t *testing.T) { playDays(t, "PUMICEFRONT_HALL", 12, Hall) }
+
+// TestHallsDays plays the same with more machines than any deployment has.
+// PUMICEFRONT_HALLS=N plays more.
+func TestHallsDays(t *testing.T) { playDays(t, "PUMICEFRONT_HALLS", 1, Halls) }
+
 // playDays plays as many days as the variable says.
 func playDays(t *testing.T, variable string, days int, shape Shape) {
 	if s := os.Getenv(variable); s != "" {
@@ -80,9 +90,14 @@
 
 // caught plays tampered days until one breaks the rule.
 func caught(t *testing.T, rule string, after time.Duration, tamper func() Tamper) {
+	t.Helper()
+	caughtOn(t, Small, rule, after, tamper)
+}
+
+func caughtOn(t *testing.T, shape Shape, rule string, after time.Duration, tamper func() Tamper) {
 	t.Helper()
 	for seed := range uint64(200) {
-		w := New(seed, Small)
+		w := New(seed, shape)
 		w.Tamper = tamper()
 		Day(w, troubled, after)
 		for _, r := range w.Rules {
@@ -254,6 +269,26 @@
 	})
 }
 
+// TestCheckerBitesOnGPUs gives the controllers other limits than the teams have.
+func TestCheckerBitesOnGPUs(t *testing.T) {
+	for name, twice := range map[string]func(t *config.Team){
+		"GPUs":  func(t *config.Team) { t.GPUsMax *= 2 },
+		"cores": func(t *config.Team) { t.CPUsMax *= 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			caughtOn(t, Hall, "quota", time.Second, func() Tamper {
+				return Tamper{Settings: func(p *config.Platform) {
+					p.Facts.Teams = slices.Clone(p.Facts.Teams)
+					for i := range p.Facts.Teams {
+						twice(&p.Facts.Teams[i])
+					}
+				}}
+			})
+		})
+	}
+}
+
 func onlyTasks(t wire.Txn) bool {
 	for _, c := range t.Then {
 		if !strings.HasPrefix(c.Put, "t/") {
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -65,7 +65,7 @@
 func (u *users) submitNew() {
 	w := u.w
 	j := &simJob{spec: wire.Job{
-		ID: fmt.Sprintf("req-%06d", w.rng.IntN(1000)*1000+len(u.list)), Class: "batch", Team: []string{"red", "blue"}[w.rng.IntN(2)],
+		ID: fmt.Sprintf("req-%06d", w.rng.IntN(1000)*1000+len(u.list)), Class: "batch", Team: w.cfg.Facts.Teams[w.rng.IntN(len(w.cfg.Facts.Teams))].Name,
 		Kind: wire.KindArray, Priority: "standard", Tasks: 1 + w.rng.IntN(w.shape.Tasks), CPUs: float64(int(1) << w.rng.IntN(3)), MemoryGB: 2,
 		Image: fmt.Sprintf("img-%d", w.rng.IntN(3)), ImageGB: 1, Spot: w.chance(0.5), Spread: w.chance(0.3),
 	}, run: w.between(2*time.Second, 25*time.Second)}
@@ -73,6 +73,9 @@
 		j.spec.Kind, j.spec.Class, j.spec.Priority, j.spec.CPUs = wire.KindService, "web", "prod", 1
 		j.spec.Tasks = 1 + w.rng.IntN(3)
 	}
+	if w.shape.GPUs {
+		w.needGPUs(j)
+	}
 	if !j.spec.Spread && w.chance(0.2) {
 		j.spec.OneZone = true
 	}
@@ -88,6 +91,20 @@
 	}
 }
 
+// needGPUs makes a job one that takes GPUs, where its team has any, with so many cores
+// that two tasks don't always fit on a small machine; an array gets a deadline.
+func (w *World) needGPUs(j *simJob) {
+	j.spec.CPUs, j.spec.MemoryGB = 3.5+3*w.rng.Float64(), 27
+	if team := w.team(j.spec.Team); team.GPUsMax > 0 {
+		j.spec.GPUs = 1
+	}
+	if j.spec.Kind == wire.KindArray {
+		j.spec.EstimateS = j.run.Seconds() * (0.5 + w.rng.Float64())
+		due := 1.5*j.spec.EstimateS + 20
+		j.spec.DeadlineS = &due
+	}
+}
+
 // body spells a submission as a user does; a zero amount must not go missing.
 func body(s wire.Job) []byte { return wire.Marshal(s) }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -28,6 +28,7 @@
 	State      func(call *controller.StateCall) (controller.StateReply, bool)
 	StateReply func(call *controller.StateCall, r *controller.StateReply)
 	Clock      func(n *node, now time.Time) time.Time
+	Settings   func(p *config.Platform) // what a process that starts is told
 	Cloud      func(call *controller.CloudCall) (controller.CloudReply, bool)
 }
 
@@ -38,14 +39,18 @@
 	Scale       float64       // of the teams' guarantees and limits
 	Tasks       int           // the most that an array has
 	Arrive      time.Duration // between submissions, in the mean
+	GPUs        bool          // are what the teams share; reports come seldom and little can be written
 }
 
 // The shapes that days are played in: as the first deployments are, as they have
-// grown, and as the fleets are with half as many machines again.
+// grown, and as the fleets are with half as many machines again; and where GPUs
+// are shared, small and with more machines than any deployment has.
 var (
 	Small = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, Arrive: 4 * time.Second}
 	Grown = Shape{Controllers: 5, Machines: 240, Scale: 20, Tasks: 120, Arrive: 3 * time.Second}
 	Fleet = Shape{Controllers: 5, Machines: 1900, Scale: 400, Tasks: 300, Arrive: 600 * time.Millisecond}
+	Hall  = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, Arrive: 4 * time.Second, GPUs: true}
+	Halls = Shape{Controllers: 5, Machines: 2600, Scale: 80, Tasks: 150, Arrive: 700 * time.Millisecond, GPUs: true}
 )
 
 // World is one simulated day.
@@ -123,6 +128,14 @@
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 60, 8, 16
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
 	f.Resources.MemoryMB, f.Resources.MaxConnections = 125, 1500
+	if s.GPUs { // one team has GPUs alone, one cores alone, one both
+		f.Teams = []config.Team{{Name: "red", GPUs: 4 * s.Scale, GPUsMax: 8 * s.Scale},
+			{Name: "blue", CPUs: 12 * s.Scale, CPUsMax: 48 * s.Scale, GPUs: 2 * s.Scale, GPUsMax: 9 * s.Scale},
+			{Name: "green", CPUs: 10 * s.Scale, CPUsMax: 30 * s.Scale}}
+		f.Objectives = append(f.Objectives, config.Objective{Kind: "deadline", Class: "batch", Times: 1})
+		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 10, 45, 70
+		f.State.WriteRPS = 25
+	}
 	return p
 }
 
@@ -205,6 +218,9 @@
 			cfg.Others = append(cfg.Others, config.Peer{Member: fmt.Sprintf("n%d", i)})
 		}
 	}
+	if n.w.Tamper.Settings != nil {
+		n.w.Tamper.Settings(&cfg)
+	}
 	start := n.clock()
 	if n.w.Tamper.Boot != nil {
 		start = n.w.Tamper.Boot(start)
@@ -449,7 +465,13 @@
 	return w.cfg.Facts.Teams[i]
 }
 
-func types() []wire.MachineType {
+func (s Shape) types() []wire.MachineType {
+	if s.GPUs {
+		return []wire.MachineType{
+			{Name: "small", CPUs: 12, GPUs: 2, MemoryGB: 72, CacheGB: 50, FetchGBps: 0.5, Price: 5, SpotPrice: 1.4, BootS: 8, Zones: []string{"a", "b"}},
+			{Name: "big", CPUs: 24, GPUs: 4, MemoryGB: 144, CacheGB: 50, FetchGBps: 0.5, Price: 13, SpotPrice: 3.6, BootS: 10, Zones: []string{"a", "b"}},
+		}
+	}
 	return []wire.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 0.5, Price: 1, SpotPrice: 0.4, BootS: 8, Zones: []string{"a", "b"}},
 		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBps: 0.5, Price: 3, SpotPrice: 1, BootS: 10, Zones: []string{"a", "b"}},
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -364,3 +365,68 @@
 		p[0].Machine.Free = p[0].Machine.Free.Add(d.Each, 1)
 	}
 }
+
+// TestPreemptNeverTakesAGuarantee plays rounds of preemption between teams that are
+// guaranteed GPUs, cores or both, and checks after each that no team was brought below
+// what it is guaranteed. The last round is played with an excess that is one task too
+// large, to show that the check bites.
+func TestPreemptNeverTakesAGuarantee(t *testing.T) {
+	infinite := math.Inf(1)
+	var broken int
+	round := func(t *rapid.T, wrong bool) {
+		guarantees := map[string]Resources{}
+		for _, team := range []string{"red", "blue"} {
+			guarantees[team] = rapid.SampledFrom([]Resources{{CPUs: infinite, GPUs: 3}, {CPUs: 12, GPUs: infinite}, {CPUs: 20, GPUs: 2}, {}}).Draw(t, team)
+		}
+		use, excess := Excess{}, Excess{}
+		beyond := func(guarantee float64) float64 {
+			if guarantee == infinite {
+				return infinite
+			}
+			return -guarantee
+		}
+		for team, g := range guarantees {
+			excess[team] = Resources{CPUs: beyond(g.CPUs), GPUs: beyond(g.GPUs)}
+		}
+		var ms []*Machine
+		for i := range rapid.IntRange(1, 5).Draw(t, "machines") {
+			m := &Machine{ID: fmt.Sprint(i), Type: "g", Zone: "x", Cap: Resources{CPUs: 24, GPUs: 4, MemoryGB: 144}}
+			for n := range 4 {
+				terms := &Terms{Job: fmt.Sprint(i), Team: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"), Rank: 2, Borrowed: true,
+					Each: Resources{CPUs: rapid.SampledFrom([]float64{3.5, 5, 6}).Draw(t, "cores"), GPUs: 1, MemoryGB: 27}}
+				m.Tasks = append(m.Tasks, Victim{Terms: terms, Task: n})
+				use.Use(terms)
+				excess.Use(terms)
+			}
+			ms = append(ms, m)
+		}
+		if wrong {
+			for team := range excess {
+				excess[team] = excess[team].Add(Resources{CPUs: 6, GPUs: 1}, 1)
+			}
+		}
+		d := demand(rapid.IntRange(1, 6).Draw(t, "tasks"), 4)
+		d.Each.GPUs, d.Rank, d.Team, d.Within = float64(rapid.IntRange(1, 3).Draw(t, "gpus")), 2, "green", true
+		before := maps.Clone(use)
+		victims, _ := Preempt(ms, d, len(d.Tasks), excess, time.Time{})
+		for _, v := range victims {
+			use.spend(v.Terms)
+		}
+		below := func(was, is, guarantee float64) bool {
+			return guarantee != infinite && is < was && is < guarantee-epsilon
+		}
+		for team, g := range guarantees {
+			if below(before[team].CPUs, use[team].CPUs, g.CPUs) || below(before[team].GPUs, use[team].GPUs, g.GPUs) {
+				broken++
+				if !wrong {
+					t.Fatalf("team %s is left with %+v of %+v", team, use[team], g)
+				}
+			}
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) { round(t, false) })
+	rapid.Check(t, func(t *rapid.T) { round(t, true) })
+	if broken == 0 {
+		t.Error("an excess that is too large breaks nothing: the check does not bite")
+	}
+}
