What ends soon is not counted twice: what comes meanwhile needs it too

What is expected to come while a machine boots (arrivals of the last 90 s) is now taken off what ends. The rule by the slack of deadlines, which waited for the same room in fewer cases, is gone.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -795,29 +795,31 @@
 	}
 }
 
-// Batch work waits for running tasks that end before a machine boots, unless its
-// deadline leaves no time for that.
-func TestHastyWorkIsRentedFor(t *testing.T) {
+// Batch work waits for running tasks that end before a machine boots, but not for
+// room that what comes meanwhile will need: as long as as much came as ended, nothing
+// was rented and the last tasks of arrays waited for a minute.
+func TestWhatEndsSoonIsNotCountedTwice(t *testing.T) {
 	c, l, running := leading(t)
-	c.cfg.Facts.Objectives = []config.Objective{{Kind: "deadline", Class: "train", Times: 1.5}, {Kind: "deadline", Class: "train", Times: 1}}
 	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
-	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, FetchGBps: 0.5, BootS: 30, Zones: []string{"a"}}})
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, BootS: 30, Zones: []string{"a"}}})
 	running.spec.EstimateS, running.attempts[0] = 10, &attempt{job: running, machine: l.machine("i-1"), running: true, since: c.now}
 	running.state.Start(0)
 	running.state.Start(1)
-	for due, want := range map[float64]int{200: 0, 100: 1} {
-		spec := wire.Job{ID: "req-000002", Class: "train", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1,
-			EstimateS: 50, ImageGB: 5, DeadlineS: &due}
-		l.addJob(spec.ID, &headerRecord{Job: spec, PerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+	spec := wire.Job{ID: "req-000002", Class: "train", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1}
+	l.addJob(spec.ID, &headerRecord{Job: spec, PerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+	for arrivals, want := range map[int]int{0: 0, 6: 1} {
+		l.arrivals = nil
+		for range arrivals {
+			l.arrivals = append(l.arrivals, arrival{"train", 1, c.now})
+		}
+		l.trackPeaks()
 		n := 0
 		for _, d := range l.backlog() {
 			n += len(d.Tasks)
 		}
 		if n != want {
-			t.Errorf("%d tasks to rent for with %v s for 75 s of work and 10 s of fetch, want %d", n, due, want)
+			t.Errorf("%d tasks to rent for while one ends and %d came in 90 s, want %d", n, arrivals, want)
 		}
-		delete(l.jobs, spec.ID)
-		l.order = l.order[:1]
 	}
 }
 
--- a/controller/door.go
+++ b/controller/door.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		d := l.c.demandOf(k.spec)
-		d.Within, d.Hasty, d.Tasks = true, l.hasty(k.spec), make([]int, d.Total)
+		d.Within, d.Tasks = true, make([]int, d.Total)
 		ds = append(ds, d)
 	}
 	return ds
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -236,15 +236,15 @@
 }
 
 // backlog lists the demands that wait for room which has to be rented: batch work
-// does not wait for a machine to boot where running tasks end sooner than that and
-// its aims leave the time.
+// does not wait for a machine to boot where running tasks end sooner than that, and
+// leave room for what comes meanwhile.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
 	ds := append(l.demands(), l.atDoor()...)
 	scheduler.Order(ds)
-	ending := l.endingSoon()
+	ending := l.endingSoon() - l.comingSoon()
 	for _, d := range ds {
-		if size := d.Measure.Of(d.Each); d.Rank > 0 && !d.Service && !d.Hasty && size > 0 {
+		if size := d.Measure.Of(d.Each); d.Rank > 0 && !d.Service && size > 0 && ending > 0 {
 			n := min(int(ending/size), len(d.Tasks))
 			ending -= float64(n) * size
 			d.Tasks = d.Tasks[n:]
@@ -256,13 +256,25 @@
 	return append(ds, l.doubtful()...)
 }
 
+// comingSoon estimates the size of the batch work that comes before a machine rented
+// now would be up: it needs the room that comes free as much as what waits already.
+func (l *lead) comingSoon() float64 {
+	size := 0.0
+	for _, a := range l.arrivals {
+		if p := l.fleet.peaks[a.class]; p != nil && p.spec.Kind != wire.KindService && l.c.now.Sub(a.at) < surgeWindow {
+			size += float64(a.tasks) * l.c.measure.Of(jobEach(&p.spec))
+		}
+	}
+	return size * l.shortestBoot() / surgeWindow.Seconds()
+}
+
+// shortestBoot is how many seconds any machine takes to boot at least.
+func (l *lead) shortestBoot() float64 { return l.soonestBoot(&wire.Job{}) }
+
 // endingSoon estimates the size of what running batch tasks give back before a
 // machine rented now would be up.
 func (l *lead) endingSoon() float64 {
-	boot := math.Inf(1)
-	for _, t := range l.c.types {
-		boot = math.Min(boot, t.BootS)
-	}
+	boot := l.shortestBoot()
 	room := 0.0
 	for _, j := range l.order {
 		if j.spec.Kind == wire.KindService {
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -152,7 +152,6 @@
 		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
 		d.Within, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.accepted).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
-		d.Hasty = l.hasty(&j.spec)
 		d.Begun, d.Waited = j.begun, l.waited(j)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
@@ -213,19 +212,6 @@
 	return n
 }
 
-// hasty tells whether waiting as long as a machine boots would miss a job's tightest
-// aim on finishing, were its tasks to run for half as long again as its owner thinks:
-// then it does not wait for others to end where a machine can be rented.
-func (l *lead) hasty(j *wire.Job) bool {
-	tightest := math.Inf(1)
-	for _, o := range l.c.cfg.Facts.Objectives {
-		if within, ok := finishWithin(o, j); ok {
-			tightest = math.Min(tightest, within)
-		}
-	}
-	return tightest-1.5*j.EstimateS-l.slowestFetch(j) < l.soonestBoot(j)
-}
-
 // finishWithin tells in how many seconds a job should be finished, if an objective
 // says so for its class.
 func finishWithin(o config.Objective, j *wire.Job) (within float64, ok bool) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -108,7 +108,6 @@
 	Begun            bool           // a task has run
 	Waited           bool           // for so long that waiting wins, see Turns
 	Late             int            // aims on finishing that it can't meet any more
-	Hasty            bool           // its aims leave no time to wait for room that comes free
 	WorkS            float64        // what is left of it: sizes of tasks times seconds
 	InZone           map[string]int // tasks in force by zone
 	RoomInTeam       int            // tasks that the team's limit still allows
