Lower work leaves room for services at the door

Cause: in the first 30 s 60 arrays took the 714 GPUs that were there and 560 of their tasks were stopped within seconds for services that had been turned away meanwhile; placing and stopping them cost the changes that accepting services needed. The leader knows those services, so what is lower now leaves them room.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -706,6 +706,28 @@
 	}
 }
 
+// Lower work takes no room that a service at the door will want: it would be stopped
+// for it as soon as that is accepted.
+func TestLowerWorkLeavesRoomForServicesAtTheDoor(t *testing.T) {
+	c, l, _ := leading(t)
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 4, MemoryGB: 8, Zones: []string{"a"}}})
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+	array := wire.Job{ID: "req-000002", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: 1}
+	service := wire.Job{ID: "req-000003", Team: "red", Kind: wire.KindService, Priority: "prod", Tasks: 3, CPUs: 1}
+	l.jobs, l.order = map[string]*job{}, nil
+	j := l.addJob(array.ID, &headerRecord{Job: array, PerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+	c.turnAway(UserRequest{Req: 1}, &service)
+	c.tellKnocks()
+	l.wantPlacement()
+	c.now = l.placeAt
+	l.place()
+	if n := len(j.attempts); n != 1 {
+		t.Errorf("%d tasks placed on 4 cores, of which a service at the door wants 3", n)
+	}
+}
+
 // What runs on a machine that the cloud will take away, and can't end in time, begins
 // again elsewhere at once instead of after the machine's silence; then nothing keeps
 // the machine.
--- a/controller/door.go
+++ b/controller/door.go
@@ -78,3 +78,14 @@
 	}
 	return ds
 }
+
+// keepForDoor takes the room that services at the door will want off the picture of
+// the machines: lower work that is placed there would be stopped for them at once.
+func (l *lead) keepForDoor(machines []*scheduler.Machine) {
+	for _, d := range l.atDoor() {
+		if d.Service {
+			d.RoomInTeam = len(d.Tasks)
+			scheduler.Place(machines, d)
+		}
+	}
+}
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -19,9 +19,9 @@
 type quota struct{ guarantee, limit scheduler.Resources }
 
 func quotaOf(t config.Team) quota {
-	any := t.CPUs > 0 || t.GPUs > 0
+	guaranteed := t.CPUs > 0 || t.GPUs > 0
 	guarantee := func(amount, most float64) float64 {
-		if any && amount == 0 && most == 0 {
+		if guaranteed && amount == 0 && most == 0 {
 			return math.Inf(1)
 		}
 		return amount
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -52,7 +52,12 @@
 	used := l.teamUse()
 	excess := l.excess()
 	full := map[classKey]bool{}
+	kept := false
 	for _, d := range demands {
+		if d.Rank > 0 && !d.Service && !kept {
+			l.keepForDoor(machines)
+			kept = true
+		}
 		d.RoomInTeam = l.roomInTeam(d, used)
 		key := keyOf(d)
 		if d.RoomInTeam == 0 || full[key] {
