A command lost just after a cut says nothing of its machine

Cause: how long a machine has not heard commands counted from the first one lost, also while the leader itself was cut off from all workers. One more lost command after the cut had the machine released with what it ran.

--- a/controller/machines.go
+++ b/controller/machines.go
@@ -46,6 +46,7 @@
 	leaseOut            bool
 	unanswered          bool      // the last command got no answer, and no report came since
 	missed              time.Time // when the first of the commands was sent that got no answer; zero: the last got one
+	deaf                time.Time // the same, but of those that were not sent during a cut
 	probeAt             time.Time // when it is worth asking again
 
 	attempts   map[taskKey]*attempt
@@ -415,7 +416,7 @@
 			l.noAnswer(m, sent)
 			return
 		}
-		m.missed, m.probeAt = time.Time{}, time.Time{}
+		m.missed, m.deaf, m.probeAt = time.Time{}, time.Time{}, time.Time{}
 		if !r.Report.Newer(session, seq) {
 			// Older than what the machine had said before it was asked: it has begun to
 			// count again. Late copies from before would pass for newer than all that
@@ -438,6 +439,11 @@
 	if m.missed.IsZero() {
 		m.missed = sent
 	}
+	// What was lost on a way that was cut says nothing of the machine, and the first
+	// command after that may be lost too.
+	if m.deaf.IsZero() || m.deaf.Before(l.cutAt[m.zone]) || m.deaf.Before(l.cutAt[""]) {
+		m.deaf = sent
+	}
 	pause := min(max(l.c.now.Sub(m.missed)/4, tickEvery), leadCallTimeout)
 	m.probeAt = l.c.now.Add(pause)
 }
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -97,10 +97,10 @@
 
 // deafFor is how long a machine has not answered commands, whatever it reports.
 func (l *lead) deafFor(m *machine) time.Duration {
-	if m.missed.IsZero() {
+	if m.deaf.IsZero() {
 		return 0
 	}
-	return l.since(m.missed)
+	return l.since(m.deaf)
 }
 
 // cutZones lists the zones of which most machines are silent, and "" where a
