Nobody is asked for a report without authority

Cause: the cloud's list, and the records that a new leader reads, may arrive when the authority is over; machines were then asked for reports with the old token. Harmless by itself, but authority is to be checked at every output.

--- a/controller/machines.go
+++ b/controller/machines.go
@@ -105,9 +105,10 @@
 
 // seek asks a machine for a report at once, by a command that says nothing: its
 // worker may take seconds to find a new leader by itself. Any session will do, a
-// refusal carries the report too.
+// refusal carries the report too. What leads here may be an answer that was long on
+// its way, to a leader that has lost its authority meanwhile.
 func (l *lead) seek(id, addr string) {
-	if at, ok := l.sought[id]; ok && l.c.now.Sub(at) < seekPause {
+	if at, ok := l.sought[id]; ok && l.c.now.Sub(at) < seekPause || !l.c.entitled() {
 		return
 	}
 	l.sought[id] = l.c.now
