An earlier leader's placements are kept where they run, never run again

Cause: a leader had proof that an attempt was gone, gave its room to another job and wrote that placement, but ended before it wrote that the first was gone. Now only the worker's word keeps such an attempt; the first report that has seen the new token settles the rest.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -58,6 +58,7 @@
 	token     uint64 // the highest that its run may have been sent with
 	recorded  bool   // the record is written: run may be sent
 	sent      bool
+	restored  bool // an earlier leader's: its run is not sent again
 	seen      bool // a report has shown it
 	running   bool
 	kept      bool // placed after waiting its turn
@@ -148,7 +149,7 @@
 		}
 		m := l.machine(p.Machine)
 		a := &attempt{job: j, task: p.Task, number: p.Attempt, machine: m, session: p.Session,
-			token: l.token - 1, recorded: true, sent: true, placed: l.elected}
+			token: l.token - 1, recorded: true, sent: true, restored: true, placed: l.elected}
 		m.zone = p.Zone
 		j.attempts[p.Task] = a
 		m.force(a)
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -321,9 +321,13 @@
 	return cs[:min(len(cs), most)]
 }
 
-// mayRun tells whether an attempt's run may be sent now.
+// mayRun tells whether an attempt's run may be sent now. Never that of an earlier
+// leader's attempt: that leader may have had proof that it was gone and have given its
+// room to others without living to write it down, so together the records may hold
+// more than a team's limit or a job's constraints allow. What does run of it is kept;
+// the rest is gone by the first report that has seen our token, and placed anew.
 func (l *lead) mayRun(a *attempt) bool {
-	return a.recorded && !a.stopping && !a.job.cancelled && a.session == a.machine.session && !a.machine.releasing
+	return a.recorded && !a.restored && !a.stopping && !a.job.cancelled && a.session == a.machine.session && !a.machine.releasing
 }
 
 func (l *lead) runCommand(a *attempt) wire.Command {
