A job that is first seen cancelled gets its end

Cause: a copy of the headers that is read anew shows no steps, so a leader may see a job first when it is cancelled already; its final record was never due.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -161,7 +161,7 @@
 	per := max(1, h.PerChunk)
 	g := reduction.Independent(h.Job.Tasks)
 	j := &job{
-		id: id, spec: h.Job, cancelled: h.Cancelled, accepted: time.UnixMilli(h.AcceptedMS),
+		id: id, spec: h.Job, accepted: time.UnixMilli(h.AcceptedMS),
 		graph: g, state: reduction.NewState(g), attempts: map[int]*attempt{}, per: per,
 		chunks:  make([]chunk, (h.Job.Tasks+per-1)/per),
 		retryAt: map[int]time.Time{}, fails: map[int]int{}, avoid: map[string]bool{},
@@ -187,11 +187,13 @@
 	switch {
 	case h == nil:
 		// Only we remove headers; the write that did it is confirmed in its own time.
-	case j == nil:
-		l.addJob(id, h)
+		return
+	case j == nil: // it may be cancelled already: a copy that is read anew shows no steps
+		j = l.addJob(id, h)
 		l.c.log(slog.LevelInfo, "job accepted", "job", id, "class", h.Job.Class, "team", h.Job.Team, "tasks", h.Job.Tasks)
 		l.wantPlacement()
-	case h.Cancelled && !j.cancelled:
+	}
+	if h.Cancelled && !j.cancelled {
 		l.c.log(slog.LevelInfo, "job cancelled", "job", id)
 		l.cancel(j)
 		l.settle(j)
