Leases are renewed by what the leader has seen of cancellations

Now each promise tells which cancellations its sender knows of and for how long it has run. A round of promises from processes that ran all the time is as good as a read; otherwise answers end cancel_s less a lease after the last read. The same bound holds for authority in general. Reports of machines whose attempts are not known are answered with stops; a machine is not answered any more where a cancelled task's run may still arrive.

--- a/controller/control.go
+++ b/controller/control.go
@@ -20,8 +20,8 @@
 	headers         map[string]*headerRecord
 
 	syncing   bool
-	unreached bool // the last sync failed; it is tried again until one succeeds
-	lastSync  time.Time
+	unreached bool      // the last sync failed; it is tried again until one succeeds
+	read      time.Time // when the last read that the copy holds was sent
 	waiting   []func(ok bool)
 }
 
@@ -36,6 +36,7 @@
 // load reads all watched records and then starts to watch them.
 func (c *Core) load() {
 	c.control.loading = true
+	sent := c.now
 	c.readAll(controlPrefix, userCallTimeout, func(items []wire.Item, revision uint64, ok bool) {
 		if !ok {
 			c.after(retryPause, c.load)
@@ -55,6 +56,7 @@
 		}
 		c.control.revision = max(c.control.revision, revision)
 		c.control.loaded, c.control.loading, c.control.unreached = true, false, false
+		c.holds(sent)
 		c.follow()
 	})
 }
@@ -89,10 +91,12 @@
 func (c *Core) follow() {
 	call := StateCall{Op: OpWatch, Key: controlPrefix, Revision: c.control.revision, Wait: watchWait,
 		Timeout: watchWait + userCallTimeout}
+	sent := c.now
 	c.state(call, func(r StateReply) {
 		switch r.Status {
 		case http.StatusOK:
 			c.applyWatch(r.Watch)
+			c.holds(sent)
 			c.follow()
 		case http.StatusGone:
 			c.load()
@@ -134,12 +138,13 @@
 	served := c.control.waiting
 	c.control.waiting = nil
 	call := StateCall{Op: OpWatch, Key: controlPrefix, Revision: c.control.revision, Timeout: userCallTimeout}
+	sent := c.now
 	c.state(call, func(r StateReply) {
 		ok := r.Status == http.StatusOK
 		c.control.unreached = r.Status == 0 || r.Status == http.StatusServiceUnavailable
 		if ok {
 			c.applyWatch(r.Watch)
-			c.control.lastSync = c.now
+			c.holds(sent)
 		} else if r.Status == http.StatusGone && !c.control.loading {
 			// The long watch would find out too late: nothing can be told until then.
 			c.control.loaded = false
@@ -170,6 +175,13 @@
 	c.control.revision = max(c.control.revision, w.Revision)
 }
 
+// holds notes that the copy has all that was written before a read was sent.
+func (c *Core) holds(sent time.Time) {
+	if sent.After(c.control.read) {
+		c.control.read = sent
+	}
+}
+
 // written takes in a change that this controller has made itself. The watch may
 // have told of it, and of what came after it, before the reply arrived: then it
 // is old, and applying it would bring back a key that is gone.
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -27,6 +27,7 @@
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	c := New(&cfg, config.DefaultOperator(), rand.New(rand.NewPCG(1, 1)), now)
+	c.holds(now) // as who claims has read the headers
 	c.becomeLeader(now, 1, 7, 1)
 	l := c.lead
 	l.rebuild(nil, nil)
@@ -875,3 +876,43 @@
 		t.Errorf("%v is never swept while there are counts to write", l.orphans)
 	}
 }
+
+// An earlier leader's attempt is kept where it runs, and its run is not sent again: the
+// records may hold more than a team's limit allows.
+func TestOldRunsAreNotSentAgain(t *testing.T) {
+	_, l, j := leading(t)
+	l.restore(j, 0, &taskRecord{Next: 1, Placed: []placedRecord{{Task: 0, Attempt: 1, Machine: "i-1", Session: 1, Zone: "a"}}}, 5)
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: 6})
+	if cs := l.commands(m); len(cs) != 0 || j.attempts[0] == nil {
+		t.Fatalf("commands %v, in force %v", cs, j.attempts[0] != nil)
+	}
+	l.apply(m, report(m, 7))
+	if j.attempts[0] != nil {
+		t.Fatal("in force though the machine, which has seen our token, does not list it")
+	}
+}
+
+// An answer of the cloud may come when the authority is over: nobody is asked then.
+func TestNobodyIsAskedWithoutAuthority(t *testing.T) {
+	c, l, _ := leading(t)
+	c.now = l.authority.Add(time.Millisecond)
+	c.out = nil
+	l.listed(wire.Machine{ID: "i-1", Addr: "10.0.0.1:9000", State: wire.MachineRunning})
+	for _, o := range c.out {
+		if _, call := o.(WorkerCall); call {
+			t.Fatalf("asked: %v", o)
+		}
+	}
+}
+
+// A job may be seen first when it is cancelled already, by a copy that was read anew.
+func TestJobThatIsSeenCancelledEnds(t *testing.T) {
+	_, l, _ := leading(t)
+	spec := wire.Job{ID: "req-000002", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1}
+	l.header(spec.ID, &headerRecord{Job: spec, Cancelled: true, PerChunk: 10})
+	j := l.jobs[spec.ID]
+	if w := l.compose(j); !j.dirty || w == nil || w.final == nil || !w.final.Cancelled {
+		t.Fatalf("dirty %v, write %+v: its end is never written", j.dirty, w)
+	}
+}
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -21,24 +21,26 @@
 	id        string
 	spec      wire.Job
 	cancelled bool
-	accepted  time.Time
-	graph     *reduction.Graph
-	state     *reduction.State
-	attempts  map[int]*attempt
-	per       int
-	chunks    []chunk
-	retryAt   map[int]time.Time
-	fails     map[int]int
-	avoid     map[string]bool
-	dirty     bool // chunks hold what their records don't, or the job is over
-	dirtyAt   time.Time
-	pressing  bool // its write starts tasks or tells the end; counts alone can wait
-	write     *write
-	holdUntil time.Time
-	over      bool // the final record is written
-	terms     *scheduler.Terms
-	begun     bool // a task has run, ever
-	hurt      bool // has lost an attempt to a failure, or gave way: goes on first
+	// No user was told of the cancellation before: it was not in what the leader had seen.
+	cancelledAt time.Time
+	accepted    time.Time
+	graph       *reduction.Graph
+	state       *reduction.State
+	attempts    map[int]*attempt
+	per         int
+	chunks      []chunk
+	retryAt     map[int]time.Time
+	fails       map[int]int
+	avoid       map[string]bool
+	dirty       bool // chunks hold what their records don't, or the job is over
+	dirtyAt     time.Time
+	pressing    bool // its write starts tasks or tells the end; counts alone can wait
+	write       *write
+	holdUntil   time.Time
+	over        bool // the final record is written
+	terms       *scheduler.Terms
+	begun       bool // a task has run, ever
+	hurt        bool // has lost an attempt to a failure, or gave way: goes on first
 }
 
 // chunk is a run of tasks that share a record.
@@ -118,7 +120,7 @@
 	}
 	for _, j := range l.order {
 		reduction.Recover(j.state)
-		if j.cancelled {
+		if c.control.headers[j.id].Cancelled {
 			l.cancel(j)
 		}
 		l.settle(j)
@@ -202,7 +204,9 @@
 
 // cancel counts every unfinished task as failed and stops what is in force.
 func (l *lead) cancel(j *job) {
-	j.cancelled = true
+	if !j.cancelled {
+		j.cancelled, j.cancelledAt = true, l.seen()
+	}
 	for t := range j.spec.Tasks {
 		j.state.Accumulate(t, reduction.Cancelled)
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -22,6 +22,7 @@
 	elected   time.Time
 	renewed   time.Time // when the last renewal that succeeded was sent
 	authority time.Time // until when the state service's lease is ours for sure
+	heard     time.Time // see seen
 	recovered bool
 
 	jobs       map[string]*job
@@ -71,13 +72,17 @@
 // Authority returns until when this controller may act for the controllers, as far
 // as is known now. The shell asks again before it sends what had to wait.
 func (c *Core) Authority() time.Time {
-	switch {
-	case c.lead == nil:
+	if c.lead == nil {
 		return time.Time{}
-	case c.promises.ride.After(c.lead.authority):
-		return c.promises.ride
 	}
-	return c.lead.authority
+	until := c.lead.authority
+	if c.promises.ride.After(until) {
+		until = c.promises.ride
+	}
+	if blind := c.lead.blind(); blind.Before(until) {
+		until = blind
+	}
+	return until
 }
 
 // leaderName returns who leads as far as known, or "".
@@ -176,11 +181,15 @@
 }
 
 func (l *lead) renewLater() {
-	l.c.after(l.c.op.LeaderLifetime()/4, func() {
+	every := min(l.c.op.LeaderLifetime(), l.c.blindFor()) / 4
+	l.c.after(every, func() {
 		if l.c.lead != l {
 			return
 		}
 		l.renew()
+		if l.c.now.Sub(l.c.control.read) >= every {
+			l.c.reach(func(bool) {}) // see blind
+		}
 		l.askPromises()
 		l.renewLater()
 	})
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -145,8 +145,6 @@
 		c.later(r.Req, "stale report") // a delayed copy: it says nothing about now
 		return
 	}
-	// The answer renews the lease: this is counted before the answer goes out.
-	m.answered, m.leaseOut = c.now, false
 	switch {
 	case !l.recovered: // the machine will be asked once the records are read
 		if rep.Addr != "" && c.hints[m.id] == nil {
@@ -159,11 +157,47 @@
 	default:
 		l.apply(m, &rep)
 	}
-	if !m.up {
-		c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token})
+	if l.mustLapse(m, &rep) {
+		c.later(r.Req, "a cancelled task may still start")
 		return
 	}
-	c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token, Commands: l.commands(m)})
+	// The answer renews the lease: this is counted before the answer goes out.
+	m.answered, m.leaseOut = c.now, false
+	cs := l.unwanted(&rep)
+	if m.up {
+		cs = l.commands(m)
+	}
+	c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token, Commands: cs})
+}
+
+// unwanted lists the stops of a machine whose attempts are not known yet: a leader that
+// can't read the task records renews leases all the same, and whatever the records say,
+// no task of a cancelled job may go on.
+func (l *lead) unwanted(rep *wire.Report) []wire.Command {
+	var cs []wire.Command
+	for _, t := range rep.Tasks {
+		id, _, _ := wire.SplitTask(t.ID)
+		if h := l.c.control.headers[id]; h != nil && h.Cancelled && t.State != wire.TaskExited {
+			cs = append(cs, wire.Command{Op: wire.OpStop, Task: t.ID, Attempt: t.Attempt})
+		}
+	}
+	return cs
+}
+
+// mustLapse tells whether a machine's lease may not be renewed any more: the run of a
+// task that was cancelled may still be on its way there, where no stop can forestall
+// it, and the time that a cancellation has would be over before the lease. A raised
+// token settles it, with the very answer that tells the worker of it, but can't be had
+// while the state service is out. A task that the report lists is another matter: its
+// stop goes with the renewal.
+func (l *lead) mustLapse(m *machine, rep *wire.Report) bool {
+	for _, a := range m.list {
+		if a.job.cancelled && a.sent && a.token >= l.token && !l.c.now.Before(a.job.cancelledAt.Add(l.c.blindFor())) &&
+			!slices.ContainsFunc(rep.Tasks, func(t wire.Task) bool { return t.ID == a.taskID() && t.Attempt == a.number }) {
+			return true
+		}
+	}
+	return false
 }
 
 // apply takes in what a worker says of its machine.
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"pumicefront/config"
@@ -16,13 +17,15 @@
 // that is cut off alone is replaced. Under promises nothing is written, so
 // nothing is accepted, placed or told done: only leases are renewed, and what
 // is recorded already is carried on.
+//
+// What the leader doesn't hear of meanwhile is bounded by what it has verifiably
+// seen (see blind), never by when it last renewed: its copy may be older than that.
 
 // promiseLife is how long one promise binds.
 const promiseLife = 1200 * time.Millisecond
 
-// rideMargin is what a cancellation may take from its record to the leader's
-// copy while the state service still answers.
-const rideMargin = 2 * time.Second
+// blindMargin is for the clocks and for what the end of a lease takes.
+const blindMargin = 500 * time.Millisecond
 
 // promises holds both sides: those that this controller gave, and as leader
 // those that it was given.
@@ -40,6 +43,7 @@
 	token   uint64
 	sent    time.Time
 	granted map[string]bool
+	unheard bool // somebody may have told users what no answer tells
 }
 
 // promiseBinds tells whether a promise forbids a claim. A process that has just
@@ -54,28 +58,41 @@
 // bindFor is the life of a promise by a clock that may run fast.
 const bindFor = promiseLife + promiseLife/500
 
-// askPromises begins a round once renewals have failed for a while.
+// askPromises begins a round once renewals have failed for a while, or reads for half
+// of the time that there may be between two.
 func (l *lead) askPromises() {
 	c, p := l.c, &l.c.promises
-	if l.c.now.Sub(l.renewed) < c.op.LeaderLifetime()/3 || !c.entitled() {
+	fine := c.now.Sub(l.renewed) < c.op.LeaderLifetime()/3 && c.now.Sub(l.seen()) < c.blindFor()/2
+	if fine || !c.entitled() {
 		return
 	}
 	p.round++
-	p.asks = map[uint64]*promiseRound{p.round: {l.token, c.now, map[string]bool{}}, p.round - 1: p.asks[p.round-1]}
+	r := &promiseRound{token: l.token, sent: c.now, granted: map[string]bool{}}
+	p.asks = map[uint64]*promiseRound{p.round: r, p.round - 1: p.asks[p.round-1]}
 	c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Ask{Ask: &mesh.PromiseAsk{
-		Token: l.token, Round: p.round, LifeMs: uint64(promiseLife.Milliseconds())}}})
+		Token: l.token, Round: p.round, LifeMs: uint64(promiseLife.Milliseconds()), Revision: c.control.revision}}})
 }
 
 // promiseAsked answers a leader that can't reach the state service. Whether we
 // can is found out by trying.
 func (c *Core) promiseAsked(from string, ask *mesh.PromiseAsk) {
 	answer := func(granted bool) {
-		c.sendMesh(from, &mesh.Envelope{Body: &mesh.Envelope_Promise{
-			Promise: &mesh.Promise{Token: ask.Token, Round: ask.Round, Granted: granted}}})
+		p := &mesh.Promise{Token: ask.Token, Round: ask.Round, Granted: granted}
+		if granted {
+			p.UpMs = uint64(c.now.Sub(c.promises.started).Milliseconds())
+			p.Cancelled = c.cancelledSince(ask.Revision)
+		}
+		c.sendMesh(from, &mesh.Envelope{Body: &mesh.Envelope_Promise{Promise: p}})
+	}
+	// A leader that was refused alone may not have heard that another was elected
+	// before the state service went down for all. The newer token tells it.
+	if c.lead != nil && !c.entitled() && ask.Token > c.lead.token {
+		c.stepDown("another one leads")
 	}
 	free := func() bool {
+		older := !c.control.loaded || c.control.token < ask.Token // our copy, than the election
 		return c.lead == nil && !c.claiming && c.control.token <= ask.Token &&
-			(!c.control.loaded || c.control.leader != nil && c.control.leader.Member == from) &&
+			(older || c.control.leader != nil && c.control.leader.Member == from) &&
 			ask.LifeMs <= uint64(promiseLife.Milliseconds())
 	}
 	if !free() {
@@ -92,27 +109,47 @@
 	})
 }
 
-// promiseAnswered counts an answer. Only authority without a gap is extended:
-// in a gap somebody else could have led. It ends early enough that what was
-// cancelled unseen at its beginning has lost its lease within the time that a
-// cancellation has.
+// cancelledSince lists the unfinished jobs that this controller knows to be
+// cancelled by changes after a revision: whatever this process has told users of
+// cancellations is among them, or in the leader's own copy.
+func (c *Core) cancelledSince(revision uint64) []string {
+	var jobs []string
+	for id, h := range c.control.headers {
+		if h.Cancelled && c.control.versions[headerKey(id)] > revision {
+			jobs = append(jobs, id)
+		}
+	}
+	slices.Sort(jobs)
+	return jobs
+}
+
+// promiseAnswered counts an answer. Only authority without a gap is extended: in a
+// gap somebody else could have led. A round in which every other controller has run
+// for as long as the leader hasn't read, and tells what it knows of cancellations, is
+// as good as a read of them: nobody else could have told a user of one.
 func (c *Core) promiseAnswered(from string, a *mesh.Promise) {
 	p, l := &c.promises, c.lead
 	r := p.asks[a.Round]
 	if l == nil || r == nil || r.token != a.Token || l.token != a.Token || !a.Granted {
 		return
 	}
+	for _, id := range a.Cancelled {
+		if !c.calledOff(id) && !l.recovered {
+			r.unheard = true // a task of it may be found on a machine and not be known
+		}
+	}
+	up := time.Duration(float64(a.UpMs) * (1 - clockDrift) * float64(time.Millisecond))
+	if c.now.Add(-up).After(l.seen()) {
+		r.unheard = true // who ran there before may have told users of cancellations
+	}
 	r.granted[from] = true
 	if len(r.granted) < len(c.cfg.Others) || !c.entitled() {
 		return
 	}
-	w := c.cfg.Facts.Workers
-	most := l.renewed.Add(config.Seconds(w.CancelS-w.LeaseS*(1+2*clockDrift)) - rideMargin)
-	until := r.sent.Add(promiseLife - promiseLife/500 - authorityMargin)
-	if most.Before(until) {
-		until = most
+	if !r.unheard && r.sent.After(l.heard) {
+		l.heard = r.sent
 	}
-	if until.After(p.ride) {
+	if until := r.sent.Add(promiseLife - promiseLife/500 - authorityMargin); until.After(p.ride) {
 		p.ride = until
 	}
 	if !p.riding {
@@ -121,6 +158,45 @@
 	}
 }
 
+// calledOff takes in that another controller knows a job to be cancelled, which is
+// as durable as if we had read it. It tells whether the job is known here.
+func (c *Core) calledOff(id string) bool {
+	h := c.control.headers[id]
+	if h == nil {
+		return false
+	}
+	if !h.Cancelled {
+		cancelled := *h
+		cancelled.Cancelled = true
+		c.headerChanged(id, &cancelled)
+	}
+	return true
+}
+
+// seen is the moment up to which the leader knows of every cancellation that a user
+// was told of: when the last read was sent that its copy of the headers holds, or
+// the last round of promises that was as good.
+func (l *lead) seen() time.Time {
+	if read := l.c.control.read; read.After(l.heard) {
+		return read
+	}
+	return l.heard
+}
+
+// blind is when the leader must answer no worker any more unless it has seen more
+// of the headers. A user may have been told of a cancellation right after seen; a
+// lease that is renewed before blind has run out cancel_s after that, and the task
+// with it. Settings that leave hardly any time between the two can't be kept by
+// leases alone; the service then relies on reading several times a second.
+func (l *lead) blind() time.Time { return l.seen().Add(l.c.blindFor()) }
+
+// blindFor is how long after a cancellation was told the lease of a machine that may
+// run its task can be renewed at the latest.
+func (c *Core) blindFor() time.Duration {
+	w := c.cfg.Facts.Workers
+	return max(config.Seconds(w.CancelS-w.LeaseS*(1+2*clockDrift))-blindMargin, c.op.LeaderLifetime()/2)
+}
+
 // rideOver takes in that the state service answers the leader again.
 func (l *lead) rideOver() {
 	p := &l.c.promises
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -137,7 +137,7 @@
 			ran = ran || d
 		}
 		if j.accepted && !j.askedCancel && j.spec.Kind == wire.KindArray && !j.doneTold {
-			w.broken("unfinished", "%s is not called done, %d of %d tasks left", j.spec.ID, j.left(), j.spec.Tasks)
+			w.broken("unfinished", "%s is not called done, %d of %d tasks left: %+v", j.spec.ID, j.left(), j.spec.Tasks, j.spec)
 		}
 	}
 	if !ran {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -32,6 +32,8 @@
 
 	cut, hung bool
 	muted     bool     // its reports arrive, but answers and commands don't reach it
+	shut      bool     // it can't open connections to controllers; commands reach it
+	quiet     bool     // it makes no reports, though it runs
 	off       bool     // is starting again
 	held      []func() // messages that wait for the end of a cut
 	frozen    []func() // what a hanging machine will do when it continues
@@ -52,6 +54,9 @@
 	h := &host{w: w, id: id, typ: typ, zone: zone, spot: spot, born: w.now, session: 1, images: map[string]bool{},
 		drift: (w.rng.Float64() - 0.5) * 0.0008, node: w.rng.IntN(len(w.nodes)), faulty: w.chance(0.04)}
 	boot := w.between(6*time.Second, 14*time.Second)
+	if w.faults.quickBoots {
+		boot = w.between(200*time.Millisecond, 2*time.Second)
+	}
 	if w.chance(0.05) {
 		boot = time.Hour // never comes up
 	}
@@ -186,6 +191,10 @@
 		return
 	}
 	w := h.w
+	if h.quiet {
+		w.after(100*time.Millisecond, func() { h.do(h.report) })
+		return
+	}
 	h.busy = true
 	h.reporting++
 	h.lastSent = w.now
@@ -193,14 +202,26 @@
 	next := time.Duration(w.cfg.Facts.Workers.ReportS * (0.75 + w.rng.Float64()/2) * float64(time.Second))
 	w.after(next, func() { h.do(h.report) })
 	w.after(4*time.Second, func() { h.do(func() { h.failed(number) }) })
-	if w.chance(0.02) { // a copy, from seconds to well over a lease later
-		x := w.nodes[w.rng.IntN(len(w.nodes))]
-		w.after(w.between(2*time.Second, 25*time.Second), func() {
+	copyTo := func(x *node) func() {
+		late := rep
+		return func() {
 			if x.core != nil {
-				h.tamper(true, &rep)
-				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: rep} }, func(controller.Answer) {})
+				h.tamper(true, &late)
+				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: late} }, func(controller.Answer) {})
 			}
-		})
+		}
+	}
+	if w.mishap(0.02) || w.chance(w.faults.copies) { // a copy, from seconds to well over a lease later
+		w.after(w.between(2*time.Second, 25*time.Second), copyTo(w.nodes[w.rng.IntN(len(w.nodes))]))
+	}
+	if w.chance(w.faults.forNext) { // kept until another leads, then for every node
+		for _, x := range w.nodes {
+			w.kept = append(w.kept, copyTo(x))
+		}
+	}
+	if h.shut {
+		w.after(time.Second, func() { h.do(func() { h.failed(number) }) })
+		return
 	}
 	n := w.nodes[h.node]
 	send := func() {
@@ -392,6 +413,10 @@
 		h.later(t, run, func() {
 			j.done[n] = true
 			h.exit(t, wire.WhyDone)
+			if j.left() == 0 && !j.ended {
+				j.ended = true
+				h.w.users.ended(j)
+			}
 		})
 	}
 }
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"time"
 
 	"pumicefront/controller"
@@ -28,6 +29,7 @@
 	w.Log("%v %s starts %s attempt %d", w.now, h.id, t.id, t.attempt)
 	j.begun = true
 	cores, gpus := j.spec.CPUs, j.spec.GPUs
+	var others []string
 	zones := map[string]int{h.zone: 1}
 	w.running(func(oh *host, o *task) {
 		oj := o.job
@@ -36,6 +38,7 @@
 		}
 		if oj.spec.Team == j.spec.Team {
 			cores, gpus = cores+oj.spec.CPUs, gpus+oj.spec.GPUs
+			others = append(others, fmt.Sprintf("%s attempt %d on %s", o.id, o.attempt, oh.id))
 		}
 		if oj == j {
 			zones[oh.zone]++
@@ -43,7 +46,8 @@
 	})
 	beyond := func(used, limit float64) bool { return limit > 0 && used > limit+1e-6 }
 	if team := w.team(j.spec.Team); beyond(cores, team.CPUsMax) || beyond(gpus, team.GPUsMax) {
-		w.broken("quota", "team %s uses %v of %v cores, %v of %v GPUs", team.Name, cores, team.CPUsMax, gpus, team.GPUsMax)
+		w.broken("quota", "team %s uses %v of %v cores, %v of %v GPUs with %s on %s beside %v",
+			team.Name, cores, team.CPUsMax, gpus, team.GPUsMax, t.id, h.id, others)
 	}
 	w.checkPlace(h, t, j, zones)
 	if j.cancelTold && w.now > j.cancelledAt+w.cancelTime() {
@@ -70,9 +74,114 @@
 	if token < w.topToken {
 		w.broken("authority", "%s acts with token %d after %d", n.name, token, w.topToken)
 	}
+	if token > w.topToken {
+		for _, fn := range w.kept { // a new leader has begun, or ours has raised its token
+			w.after(w.latency(), fn)
+		}
+		w.kept = nil
+	}
 	w.topToken = token
 }
 
+// checkRuns checks that nobody has a task run whose job was called off so long ago that
+// the run could not be undone in time.
+func (w *World) checkRuns(o controller.Output) {
+	var cs []wire.Command
+	switch o := o.(type) {
+	case controller.WorkerCall:
+		cs = o.Commands.Commands
+	case controller.Answer:
+		if body, ok := o.Body.(wire.ReportAnswer); ok {
+			cs = body.Commands
+		}
+	}
+	late := w.cancelTime() - time.Duration(w.cfg.Facts.Workers.LeaseS*float64(time.Second))
+	for _, c := range cs {
+		if j := w.users.jobOf(c.Task); c.Op == wire.OpRun && j != nil && j.cancelTold && w.now > j.cancelledAt+late {
+			w.broken("ran_cancelled", "%s is told to run, called off at %v", c.Task, j.cancelledAt)
+		}
+	}
+}
+
+// waitsAtMost is how long a job may wait, once all troubles are over, while a machine
+// that fits has room and its team's limit allows.
+const waitsAtMost = 90 * time.Second
+
+// watchWaiting looks, from the end of the troubles on, for jobs that are left waiting.
+func (w *World) watchWaiting(every time.Duration) {
+	since := map[*simJob]time.Duration{}
+	var look func()
+	look = func() {
+		for _, j := range w.users.list {
+			if !w.waitsBesideRoom(j) {
+				delete(since, j)
+			} else if at, ok := since[j]; !ok {
+				since[j] = w.now
+			} else if w.now-at > waitsAtMost {
+				w.broken("kept_waiting", "%s waits since %v beside room", j.spec.ID, at)
+			}
+		}
+		w.after(every, look)
+	}
+	look()
+}
+
+// waitsBesideRoom tells whether a task of a job that may go anywhere in its zone and on
+// its types is on no machine while one has room for it.
+func (w *World) waitsBesideRoom(j *simJob) bool {
+	if !j.accepted || j.askedCancel || j.spec.OneZone || j.spec.Spread || j.left() == 0 && j.spec.Kind == wire.KindArray {
+		return false
+	}
+	team, s := w.team(j.spec.Team), j.spec
+	cores, gpus, there := s.CPUs, s.GPUs, 0
+	room := false
+	for _, h := range w.hosts {
+		size := h.size()
+		for _, t := range h.tasks {
+			if h.gone || t.state == wire.TaskExited || t.job == nil {
+				continue
+			}
+			size.CPUs, size.GPUs = size.CPUs-t.job.spec.CPUs, size.GPUs-t.job.spec.GPUs
+			if t.job.spec.Team == s.Team {
+				cores, gpus = cores+t.job.spec.CPUs, gpus+t.job.spec.GPUs
+			}
+			if t.job == j {
+				there++
+			}
+		}
+		fits := (len(s.Types) == 0 || s.Types[0] == h.typ) && (s.Zone == "" || s.Zone == h.zone) && (s.Spot || !h.spot)
+		well := !h.gone && !h.off && !h.cut && !h.hung && !h.muted && !h.shut && !h.notice && !h.faulty && h.up < w.now
+		room = room || fits && well && size.CPUs >= s.CPUs && size.GPUs >= s.GPUs
+	}
+	within := func(used, limit float64) bool { return limit == 0 || used <= limit }
+	left := s.Tasks
+	if s.Kind == wire.KindArray {
+		left = j.left()
+	}
+	return room && there < left && within(cores, team.CPUsMax) && within(gpus, team.GPUsMax)
+}
+
+// checkServed checks that of every class and of every team at least half has begun.
+func (w *World) checkServed() {
+	all, served := map[string]int{}, map[string]int{}
+	for _, j := range w.users.list {
+		if !j.accepted || j.askedCancel {
+			continue
+		}
+		for _, group := range []string{"class " + j.spec.Class, "team " + j.spec.Team} {
+			all[group]++
+			if j.begun {
+				served[group]++
+			}
+		}
+	}
+	for group, n := range all {
+		if 2*served[group] < n {
+			w.broken("unserved", "of %d jobs of %s %d have begun", n, group, served[group])
+		}
+	}
+}
+
 // forgottenAfter is how long no question about a job may go unanswered once all
 // troubles are over; beginWithin is when a class's largest jobs must have begun.
 const (
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -24,14 +24,7 @@
 // log; PUMICEFRONT_DAYS=N plays more.
 func TestDays(t *testing.T) {
 	if one := os.Getenv("PUMICEFRONT_SEED"); one != "" {
-		seed, err := strconv.ParseUint(one, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		w := New(seed, Small)
-		w.Log = func(f string, args ...any) { fmt.Printf(f+"\n", args...) }
-		Day(w, troubled, calm)
-		report(t, seed, w)
+		replay(t, one, func(uint64) Shape { return Small }, Day)
 		return
 	}
 	playDays(t, "PUMICEFRONT_DAYS", 40, Small)
@@ -52,11 +45,36 @@
 // PUMICEFRONT_HALLS=N plays more.
 func TestHallsDays(t *testing.T) { playDays(t, "PUMICEFRONT_HALLS", 1, Halls) }
 
+// TestMeetingDays plays days on which troubles meet. PUMICEFRONT_MEETINGS=N plays more,
+// PUMICEFRONT_MEETING=N replays one with its log.
+func TestMeetingDays(t *testing.T) {
+	if one := os.Getenv("PUMICEFRONT_MEETING"); one != "" {
+		replay(t, one, meetingShape, MeetingDay)
+		return
+	}
+	days := daysOf("PUMICEFRONT_MEETINGS", 40)
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := New(seed, meetingShape(seed))
+			MeetingDay(w, troubled, calm)
+			report(t, seed, w)
+		})
+	}
+}
+
+// meetingShape gives every fourth day five controllers.
+func meetingShape(seed uint64) Shape {
+	shape := Small
+	if seed%4 == 3 {
+		shape.Controllers = 5
+	}
+	return shape
+}
+
 // playDays plays as many days as the variable says.
 func playDays(t *testing.T, variable string, days int, shape Shape) {
-	if s := os.Getenv(variable); s != "" {
-		days, _ = strconv.Atoi(s)
-	}
+	days = daysOf(variable, days)
 	for seed := range uint64(days) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -71,6 +89,27 @@
 	}
 }
 
+// daysOf is how many days to play: as the variable says, else as many as CI does.
+func daysOf(variable string, days int) int {
+	if s := os.Getenv(variable); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	return days
+}
+
+// replay plays one seed with its log.
+func replay(t *testing.T, one string, shapeOf func(seed uint64) Shape, day func(w *World, troubles, calm time.Duration)) {
+	t.Helper()
+	seed, err := strconv.ParseUint(one, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := New(seed, shapeOf(seed))
+	w.Log = func(f string, args ...any) { fmt.Printf(f+"\n", args...) }
+	day(w, troubled, calm)
+	report(t, seed, w)
+}
+
 func report(t *testing.T, seed uint64, w *World) {
 	t.Helper()
 	for _, r := range w.Rules {
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"pumicefront/controller"
@@ -28,6 +29,7 @@
 	cancelTold  bool
 	cancelledAt time.Duration
 	begun       bool          // a task has started
+	ended       bool          // its last task has
 	known       time.Duration // when a question about it was answered last
 }
 
@@ -63,6 +65,20 @@
 }
 
 func (u *users) submitNew() {
+	u.enter(u.draw())
+}
+
+// submitOne submits a job of one task that a quarter of users call off soon.
+func (u *users) submitOne() {
+	j := u.draw()
+	j.spec.Tasks, j.done, j.run = 1, j.done[:1], u.w.between(time.Second, 4*time.Second)
+	u.enter(j)
+	if u.w.chance(0.25) {
+		u.w.after(u.w.between(0, 6*time.Second), func() { u.cancel(j) })
+	}
+}
+
+func (u *users) draw() *simJob {
 	w := u.w
 	j := &simJob{spec: wire.Job{
 		ID: fmt.Sprintf("req-%06d", w.rng.IntN(1000)*1000+len(u.list)), Class: "batch", Team: w.cfg.Facts.Teams[w.rng.IntN(len(w.cfg.Facts.Teams))].Name,
@@ -82,7 +98,15 @@
 	if w.chance(0.1) {
 		j.spec.Types = []string{"big"}
 	}
+	if !j.spec.Spread && w.chance(0.1) {
+		j.spec.Zone = w.shape.types()[0].Zones[w.rng.IntN(2)]
+	}
 	j.done = make([]bool, j.spec.Tasks)
+	return j
+}
+
+func (u *users) enter(j *simJob) {
+	w := u.w
 	u.jobs[j.spec.ID] = j
 	u.list = append(u.list, j)
 	u.submit(j)
@@ -108,8 +132,30 @@
 // body spells a submission as a user does; a zero amount must not go missing.
 func body(s wire.Job) []byte { return wire.Marshal(s) }
 
+// lacking spells a submission without one of the fields that it must have.
+func (w *World) lacking(s wire.Job) []byte {
+	var fields map[string]any
+	if err := wire.Unmarshal(body(s), &fields); err != nil {
+		panic(err)
+	}
+	var required []string
+	for name, v := range fields {
+		if v != nil && v != "" {
+			required = append(required, name)
+		}
+	}
+	slices.Sort(required)
+	delete(fields, required[w.rng.IntN(len(required))])
+	return wire.Marshal(fields)
+}
+
 // request sends to a random node; fn gets the answer, or status 0.
 func (u *users) request(r controller.UserRequest, fn func(controller.Answer)) {
+	u.requestOf(u.w.nodes[u.w.rng.IntN(len(u.w.nodes))], r, fn)
+}
+
+// requestOf sends to one node.
+func (u *users) requestOf(n *node, r controller.UserRequest, fn func(controller.Answer)) {
 	w, done := u.w, false
 	finish := func(a controller.Answer) {
 		if !done {
@@ -117,7 +163,6 @@
 			fn(a)
 		}
 	}
-	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	w.after(5*time.Second, func() { finish(controller.Answer{}) })
 	w.after(w.latency(), func() {
 		if n.core == nil {
@@ -146,6 +191,7 @@
 			}
 			u.w.checkState(j, before, a.Body.(wire.JobState))
 			if first {
+				u.lookClosely(j)
 				u.poll(j)
 				u.w.after(u.w.between(5*time.Second, 60*time.Second), func() { u.submit(j) }) // a late repeat
 			}
@@ -182,6 +228,7 @@
 	u.request(controller.UserRequest{Op: controller.UserAbort, Job: j.spec.ID}, func(a controller.Answer) {
 		if a.Status == http.StatusOK {
 			u.w.checkState(j, before, a.Body.(wire.JobState))
+			u.lookClosely(j)
 			return
 		}
 		if a.Status == http.StatusNotFound && accepted {
@@ -201,3 +248,117 @@
 	})
 	u.w.after(u.w.between(3*time.Second, 9*time.Second), u.strangers)
 }
+
+// ended is called as the last task of a job ends: some users call it off right then.
+func (u *users) ended(j *simJob) {
+	if u.w.chance(u.w.faults.cancelAtEnd) {
+		u.cancel(j)
+	}
+	u.lookClosely(j)
+}
+
+// lookClosely asks all nodes about a job within milliseconds, and repeats its
+// submission at each: none may answer something older than any has said.
+func (u *users) lookClosely(j *simJob) {
+	if !u.w.faults.closeLooks {
+		return
+	}
+	for range 3 {
+		for _, n := range u.w.nodes {
+			for _, r := range []controller.UserRequest{
+				{Op: controller.UserPoll, Job: j.spec.ID},
+				{Op: controller.UserSubmit, Job: j.spec.ID, Body: body(j.spec)},
+			} {
+				u.w.after(u.w.between(0, 20*time.Millisecond), func() { u.look(n, j, r) })
+			}
+		}
+	}
+}
+
+func (u *users) look(n *node, j *simJob, r controller.UserRequest) {
+	before, accepted := j.told(), j.accepted
+	u.requestOf(n, r, func(a controller.Answer) {
+		switch {
+		case a.Status == http.StatusOK:
+			u.w.checkState(j, before, a.Body.(wire.JobState))
+		case a.Status == http.StatusCreated && accepted:
+			u.w.broken("went_back", "%s is accepted once more", j.spec.ID)
+		case accepted && (a.Status == http.StatusNotFound || a.Status == http.StatusBadRequest || a.Status == http.StatusUnprocessableEntity):
+			u.w.broken("forgotten", "%s gets %d", j.spec.ID, a.Status)
+		}
+	})
+}
+
+// callOff cancels up to count jobs that run and have long to go, within a fifth of a
+// second; up to eight of their machines hang for a while. It returns the jobs.
+func (u *users) callOff(count int, hang time.Duration) []*simJob {
+	var jobs []*simJob
+	hung := map[*host]bool{}
+	u.w.running(func(h *host, t *task) {
+		j := t.job
+		if !j.accepted || j.askedCancel || len(jobs) >= count && !slices.Contains(jobs, j) {
+			return
+		}
+		if !slices.Contains(jobs, j) {
+			jobs = append(jobs, j)
+		}
+		if hang > 0 && len(hung) < 8 {
+			hung[h] = true
+		}
+	})
+	for _, j := range jobs {
+		u.w.after(u.w.between(0, 200*time.Millisecond), func() {
+			if !j.askedCancel {
+				u.cancel(j)
+			}
+		})
+	}
+	for _, h := range u.w.hosts { // not the map's order: a seed's day is always the same
+		if hung[h] {
+			h.setHung(true)
+			u.w.after(hang, func() { h.setHung(false) })
+		}
+	}
+	return jobs
+}
+
+// oddRequests repeats submissions, cancels jobs that are done, and sends jobs that fit
+// no machine, exceed a limit, name nobody's team or lack a field.
+func (u *users) oddRequests() {
+	w := u.w
+	if len(u.list) == 0 {
+		return
+	}
+	j := u.list[w.rng.IntN(len(u.list))]
+	if j.accepted {
+		u.look(w.nodes[w.rng.IntN(len(w.nodes))], j, controller.UserRequest{Op: controller.UserSubmit, Job: j.spec.ID, Body: body(j.spec)})
+		if j.doneTold {
+			u.cancel(j)
+		}
+	}
+	odd := j.spec
+	odd.ID = fmt.Sprintf("req-8%08d", w.rng.IntN(1e8))
+	want := http.StatusUnprocessableEntity
+	raw := body(odd)
+	switch w.rng.IntN(4) {
+	case 0:
+		odd.CPUs = 1000
+		raw = body(odd)
+	case 1:
+		odd.Team = "nobody"
+		raw = body(odd)
+	case 2:
+		odd.Types = []string{"none"}
+		raw = body(odd)
+	case 3:
+		odd.Types, odd.Zone, odd.DeadlineS = nil, "", nil // what may be null may be missing
+		raw, want = w.lacking(odd), http.StatusBadRequest
+	}
+	u.request(controller.UserRequest{Op: controller.UserSubmit, Job: odd.ID, Body: raw}, func(a controller.Answer) {
+		switch a.Status {
+		case want, 0, http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		default:
+			w.broken("invented", "a job that can't run or lacks a field gets %d, not %d", a.Status, want)
+		}
+	})
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -60,7 +60,10 @@
 	Tamper Tamper
 
 	shape    Shape
+	faults   faults
+	still    bool          // nothing is lost, copied or late by chance
 	topToken uint64        // the highest that anything was sent with
+	kept     []func()      // copies of reports, for the next leader
 	calmFrom time.Duration // when all troubles were over; 0: not yet
 	rng      *rand.Rand
 	start    time.Time
@@ -76,6 +79,22 @@
 	users    *users
 }
 
+// faults are the troubles that change what the world does for a while. Shares are of
+// all that could be hit.
+type faults struct {
+	lateWrites   float64       // transactions carried out seconds later, after newer ones, unanswered
+	lostAnswers  float64       // transactions carried out at once, unanswered
+	slowState    time.Duration // that each call of the state service may take
+	heldCommands float64       // direct commands that arrive long after they were given up
+	heldFor      time.Duration // by how much; 0: it is drawn
+	heldAnswers  float64       // direct commands that are carried out, their answer given up
+	copies       float64       // reports of which a copy arrives again, up to well over a lease later
+	forNext      float64       // reports of which a copy is kept for the next leader
+	quickBoots   bool          // machines are up within two seconds
+	cancelAtEnd  float64       // jobs called off as their last task ends
+	closeLooks   bool          // users ask all nodes within milliseconds of what they are told
+}
+
 // event runs at its time; equal times keep their order.
 type event struct {
 	at  time.Duration
@@ -152,9 +171,12 @@
 
 func (w *World) chance(p float64) bool { return w.rng.Float64() < p }
 
+// mishap draws what goes wrong by chance now and then.
+func (w *World) mishap(p float64) bool { return w.chance(p) && !w.still }
+
 // latency of one message.
 func (w *World) latency() time.Duration {
-	if w.chance(0.01) {
+	if w.mishap(0.01) {
 		return w.between(50*time.Millisecond, 400*time.Millisecond)
 	}
 	return w.between(200*time.Microsecond, 3*time.Millisecond)
@@ -282,6 +304,7 @@
 			o = n.w.Tamper.Output(n, o)
 		}
 		n.w.checkAuthority(n, o)
+		n.w.checkRuns(o)
 		if n.freezing > 0 {
 			n.held = append(n.held, func() { n.carryOut(o) })
 		} else {
@@ -360,7 +383,7 @@
 	copyOf := &mesh.Envelope{From: o.Envelope.From, Body: o.Envelope.Body}
 	deliver := func() { to.step(controller.MeshMessage{Envelope: copyOf}) }
 	n.w.after(n.w.latency(), deliver)
-	if n.w.chance(0.01) { // a copy, much later
+	if n.w.mishap(0.01) { // a copy, much later
 		n.w.after(n.w.between(100*time.Millisecond, 15*time.Second), deliver)
 	}
 }
@@ -398,9 +421,12 @@
 	if n.cutOff {
 		return // until the call is given up
 	}
-	late, lost := w.latency(), w.chance(0.004)
-	if call.Op == controller.OpTxn && w.chance(0.004) {
-		late, lost = w.between(time.Second, 20*time.Second), true
+	late, lost := w.latency()+w.between(0, w.faults.slowState), w.mishap(0.004)
+	if call.Op == controller.OpTxn {
+		if w.mishap(0.004) || w.chance(w.faults.lateWrites) {
+			late, lost = w.between(time.Second, 20*time.Second), true
+		}
+		lost = lost || w.chance(w.faults.lostAnswers)
 	}
 	w.after(late, func() {
 		w.store.handle(n, call, func(r controller.StateReply) {
@@ -444,11 +470,15 @@
 		return
 	}
 	delay := w.latency()
-	if w.chance(0.01) { // held on its way, long after the sender gave up
-		w.after(w.between(2*time.Second, 40*time.Second), run(false))
+	if w.mishap(0.01) || w.chance(w.faults.heldCommands) { // held on its way, long after the sender gave up
+		held := w.between(2*time.Second, 40*time.Second)
+		if w.faults.heldFor > 0 {
+			held = w.faults.heldFor
+		}
+		w.after(held, run(false))
 		return
 	}
-	w.after(delay, run(true))
+	w.after(delay, run(!w.chance(w.faults.heldAnswers)))
 }
 
 func (w *World) host(id string) *host {
