--- a/controller/promise.go
+++ b/controller/promise.go
@@ -43,7 +43,8 @@
 	token   uint64
 	sent    time.Time
 	granted map[string]bool
-	unheard bool // somebody may have told users what no answer tells
+	young   time.Time // when the process was started, at the latest, that started last
+	unheard bool      // somebody may have told users what no answer tells
 }
 
 // promiseBinds tells whether a promise forbids a claim. A process that has just
@@ -63,7 +64,7 @@
 func (l *lead) askPromises() {
 	c, p := l.c, &l.c.promises
 	fine := c.now.Sub(l.renewed) < c.op.LeaderLifetime()/3 && c.now.Sub(l.seen()) < c.blindFor()/2
-	if fine || !c.entitled() {
+	if fine {
 		return
 	}
 	p.round++
@@ -123,10 +124,11 @@
 	return jobs
 }
 
-// promiseAnswered counts an answer. Only authority without a gap is extended: in a
-// gap somebody else could have led. A round in which every other controller has run
-// for as long as the leader hasn't read, and tells what it knows of cancellations, is
-// as good as a read of them: nobody else could have told a user of one.
+// promiseAnswered counts an answer. Authority is extended only where nobody else can
+// have led meanwhile: if there is a gap, every other controller must have run all
+// through it, and know no newer token. Likewise a round in which every other one has run
+// for as long as the leader hasn't read, and tells what it knows of cancellations, is as
+// good as a read of them: nobody else could have told a user of one.
 func (c *Core) promiseAnswered(from string, a *mesh.Promise) {
 	p, l := &c.promises, c.lead
 	r := p.asks[a.Round]
@@ -139,14 +141,19 @@
 		}
 	}
 	up := time.Duration(float64(a.UpMs) * (1 - clockDrift) * float64(time.Millisecond))
-	if c.now.Add(-up).After(l.seen()) {
-		r.unheard = true // who ran there before may have told users of cancellations
+	if started := c.now.Add(-up); started.After(r.young) {
+		r.young = started
 	}
 	r.granted[from] = true
-	if len(r.granted) < len(c.cfg.Others) || !c.entitled() {
+	held := p.ride
+	if l.authority.After(held) {
+		held = l.authority
+	}
+	if len(r.granted) < len(c.cfg.Others) || !c.now.Before(held) && r.young.After(held) {
 		return
 	}
-	if !r.unheard && r.sent.After(l.heard) {
+	// Where a process has started since, who ran before it may have told users.
+	if !r.unheard && !r.young.After(l.seen()) && r.sent.After(l.heard) {
 		l.heard = r.sent
 	}
 	if until := r.sent.Add(promiseLife - promiseLife/500 - authorityMargin); until.After(p.ride) {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -229,7 +229,7 @@
 			w.after(w.latency(), func() { h.reach(func() { h.failed(number) }) })
 			return
 		}
-		if !n.deaf {
+		if !n.deaf && !w.faults.island.parts(n, h) {
 			h.askReport(n, rep, number, sent)
 		}
 	}
--- a/internal/sim/meetings.go
+++ b/internal/sim/meetings.go
@@ -116,13 +116,46 @@
 			w.after(w.between(0, 2*time.Second), func() { w.users.callOff(count, 0) })
 			undo(func() { l.cutOff = false; w.store.notify() })
 		},
+		func() { // a zone with a controller is cut off, for longer than a lease
+			n := w.nodes[pick>>8%uint64(len(w.nodes))]
+			w.faults.island = island{"a", n}
+			n.cutOff = true
+			w.users.callOff(count, 0)
+			w.after(min(w.leaseTime()+lasting, max(end-w.now, 0)), func() {
+				w.faults.island = island{}
+				n.cutOff = false
+				w.store.notify()
+			})
+		},
+		func() { // much more work than room, over slow links
+			w.faults.slowLinks = time.Duration(share * float64(400*time.Millisecond))
+			undo(func() { w.faults.slowLinks = 0 })
+			for range 8 {
+				w.users.submitNew()
+			}
+		},
+		func() { // machines get work as soon as they are up, while writes lag, and the leader ends
+			w.faults.quickBoots, w.faults.slowState = true, time.Duration(share*float64(2*time.Second))
+			undo(func() { w.faults.quickBoots, w.faults.slowState = false, 0 })
+			for range 4 {
+				w.users.submitNew()
+			}
+			w.after(w.between(500*time.Millisecond, 6*time.Second), func() { w.leading().crash(short) })
+		},
+		func() { // work beyond every team's limit, jobs called off whose machines hang, the leader ends
+			for range 12 {
+				w.users.submitNew()
+			}
+			w.after(lasting/4, func() { w.users.callOff(count, hang) })
+			w.after(lasting/4+w.between(0, time.Second), func() { w.leading().crash(short) })
+		},
 		func() { // all end for longer than a lease, and one returns first
 			for i, n := range w.nodes {
 				n.crash(min(w.leaseTime()+time.Duration(i)*short, max(end-w.now, short)))
 			}
 		},
 	}
-	return kinds[int(pick%uint64(len(kinds)))]
+	return kinds[pick%uint64(len(kinds))]
 }
 
 func (w *World) leaseTime() time.Duration {
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -168,6 +168,35 @@
 	}
 }
 
+// The state service refuses the leader alone, and is down for all just after the
+// leader's authority has run out and before anybody could claim it. All have run all the
+// time, so nobody has led meanwhile, and it goes on.
+func TestAuthorityIsResumed(t *testing.T) {
+	resumed := func(restart bool) (bool, []string) {
+		w := settledOn(t, 26, Small, func(*World) {})
+		w.still = true
+		old := w.leading()
+		old.refused = true
+		until := old.core.Authority()
+		w.Run(w.now + until.Sub(old.clock()) + 2*time.Millisecond)
+		if old.leads() || another(w, old).leads() {
+			t.Fatal("somebody leads")
+		}
+		w.store.setOutage(true)
+		if restart {
+			another(w, old).crash(10 * time.Millisecond)
+		}
+		w.Run(w.now + 8*time.Second)
+		return old.leads(), w.Rules
+	}
+	if again, rules := resumed(false); !again || len(rules) > 0 {
+		t.Errorf("leads again: %v, rules broken: %v", again, rules)
+	}
+	if again, rules := resumed(true); again || len(rules) > 0 {
+		t.Errorf("with a process that has not run all the time, leads again: %v, rules broken: %v", again, rules)
+	}
+}
+
 // A leader is refused alone for so long that another one is elected; the old one has not
 // heard of it when the state service goes down for all. It must promise all the same, or
 // every worker would lose its lease.
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -49,7 +49,7 @@
 // PUMICEFRONT_MEETING=N replays one with its log.
 func TestMeetingDays(t *testing.T) {
 	if one := os.Getenv("PUMICEFRONT_MEETING"); one != "" {
-		replay(t, one, meetingShape, MeetingDay)
+		replay(t, one, meetingShape, func(w *World, troubles, calm time.Duration) { MeetingDay(w, troubles, calm+90*time.Second) })
 		return
 	}
 	days := daysOf("PUMICEFRONT_MEETINGS", 40)
@@ -57,19 +57,22 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			w := New(seed, meetingShape(seed))
-			MeetingDay(w, troubled, calm)
+			MeetingDay(w, troubled, calmOf(w)+90*time.Second)
 			report(t, seed, w)
 		})
 	}
 }
 
-// meetingShape gives every fourth day five controllers.
+// meetingShape gives every fourth day five controllers, and GPUs to another fourth.
 func meetingShape(seed uint64) Shape {
-	shape := Small
-	if seed%4 == 3 {
-		shape.Controllers = 5
+	switch five := Small; seed % 4 {
+	case 2:
+		return Hall
+	case 3:
+		five.Controllers = 5
+		return five
 	}
-	return shape
+	return Small
 }
 
 // playDays plays as many days as the variable says.
@@ -79,11 +82,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			w := New(seed, shape)
-			after := calm
-			if shape.GPUs {
-				after += 2 * config.Seconds(w.cfg.Facts.Workers.LeaseS) // what is lost at the last is waited for that long
-			}
-			Day(w, troubled, after)
+			Day(w, troubled, calmOf(w))
 			report(t, seed, w)
 		})
 	}
@@ -106,10 +105,19 @@
 	}
 	w := New(seed, shapeOf(seed))
 	w.Log = func(f string, args ...any) { fmt.Printf(f+"\n", args...) }
-	day(w, troubled, calm)
+	day(w, troubled, calmOf(w))
 	report(t, seed, w)
 }
 
+// calmOf is how long a day goes on after its troubles. Where leases are long, what is
+// lost at the last is waited for that long.
+func calmOf(w *World) time.Duration {
+	if w.shape.GPUs {
+		return calm + 2*config.Seconds(w.cfg.Facts.Workers.LeaseS)
+	}
+	return calm
+}
+
 func report(t *testing.T, seed uint64, w *World) {
 	t.Helper()
 	for _, r := range w.Rules {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -90,11 +90,24 @@
 	heldAnswers  float64       // direct commands that are carried out, their answer given up
 	copies       float64       // reports of which a copy arrives again, up to well over a lease later
 	forNext      float64       // reports of which a copy is kept for the next leader
+	slowLinks    time.Duration // that each message may take longer
 	quickBoots   bool          // machines are up within two seconds
+	island       island        // a zone that is cut off, with a controller in it
 	cancelAtEnd  float64       // jobs called off as their last task ends
 	closeLooks   bool          // users ask all nodes within milliseconds of what they are told
 }
 
+// island is a zone and the controller in it that are cut off from everything else.
+type island struct {
+	zone string
+	node *node
+}
+
+// parts tells whether a node and a machine can't reach each other for it.
+func (i island) parts(n *node, h *host) bool {
+	return i.node != nil && (i.node == n) != (i.zone == h.zone)
+}
+
 // event runs at its time; equal times keep their order.
 type event struct {
 	at  time.Duration
@@ -179,7 +192,7 @@
 	if w.mishap(0.01) {
 		return w.between(50*time.Millisecond, 400*time.Millisecond)
 	}
-	return w.between(200*time.Microsecond, 3*time.Millisecond)
+	return w.between(200*time.Microsecond, 3*time.Millisecond+w.faults.slowLinks)
 }
 
 // Run plays until the given time or the first broken rule.
@@ -466,7 +479,7 @@
 	if len(n.sent) > 40 {
 		n.sent = n.sent[1:]
 	}
-	if n.deaf {
+	if n.deaf || w.faults.island.parts(n, h) {
 		return
 	}
 	delay := w.latency()
