--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -138,7 +138,10 @@
 	})
 }
 
-func (h *host) vanish() { h.gone, h.goneAt = true, h.w.now }
+func (h *host) vanish() {
+	h.w.losesTasks(h)
+	h.gone, h.goneAt = true, h.w.now
+}
 
 func (h *host) leaseEnd() time.Duration {
 	lease := h.w.cfg.Facts.Workers.LeaseS * (1 + h.drift)
@@ -207,6 +210,7 @@
 		return func() {
 			if x.core != nil {
 				h.tamper(true, &late)
+				w.oldReport(h, x, &late)
 				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: late} }, func(controller.Answer) {})
 			}
 		}
@@ -413,6 +417,7 @@
 		h.later(t, run, func() {
 			j.done[n] = true
 			h.exit(t, wire.WhyDone)
+			h.w.taskEnded(j)
 			if j.left() == 0 && !j.ended {
 				j.ended = true
 				h.w.users.ended(j)
--- a/internal/sim/meetings.go
+++ b/internal/sim/meetings.go
@@ -1,8 +1,12 @@
 package sim
 
 import (
+	"net/http"
 	"slices"
 	"time"
+
+	"pumicefront/controller"
+	"pumicefront/wire"
 )
 
 // MeetingDay plays a day on which troubles come in pairs, the second while the first
@@ -122,6 +126,9 @@
 			n.cutOff = true
 			w.users.callOff(count, 0)
 			w.after(min(w.leaseTime()+lasting, max(end-w.now, 0)), func() {
+				if w.now > w.leaseTime() {
+					w.met["a zone with a controller cut off"]++
+				}
 				w.faults.island = island{}
 				n.cutOff = false
 				w.store.notify()
@@ -130,6 +137,7 @@
 		func() { // much more work than room, over slow links
 			w.faults.slowLinks = time.Duration(share * float64(400*time.Millisecond))
 			undo(func() { w.faults.slowLinks = 0 })
+			w.met["much more work than room over slow links"]++
 			for range 8 {
 				w.users.submitNew()
 			}
@@ -150,6 +158,7 @@
 			w.after(lasting/4+w.between(0, time.Second), func() { w.leading().crash(short) })
 		},
 		func() { // all end for longer than a lease, and one returns first
+			w.met["all controllers away for longer than a lease"]++
 			for i, n := range w.nodes {
 				n.crash(min(w.leaseTime()+time.Duration(i)*short, max(end-w.now, short)))
 			}
@@ -169,3 +178,131 @@
 
 // leads tells whether a node believes now that it may act for all.
 func (n *node) leads() bool { return n.core != nil && n.clock().Before(n.core.Authority()) }
+
+// The meetings, as days note that they came about. A day of pairs is worth nothing if
+// its troubles pass each other by.
+
+// answersReport notes a renewal by a leader that hears nothing from the state service,
+// while tasks of a job run whose user was told that it is called off.
+func (w *World) answersReport(n *node) {
+	if !w.store.outage {
+		return
+	}
+	w.running(func(_ *host, t *task) {
+		if t.job.cancelTold {
+			w.met["leases renewed in an outage after a cancellation was told"]++
+			if n.refused {
+				w.met["by a leader that had been refused alone"]++
+			}
+		}
+	})
+}
+
+// leaderActs notes what a change of leaders meets.
+func (w *World) leaderActs(n *node) {
+	if n == w.led || w.led == nil {
+		w.led = n
+		return
+	}
+	if w.now-w.ledSince < 4*time.Second {
+		w.met["leaders change twice within four seconds"]++
+	}
+	w.led, w.ledSince = n, w.now
+	full := map[string]float64{}
+	w.running(func(_ *host, t *task) { full[t.job.spec.Team] += t.job.spec.CPUs })
+	w.running(func(h *host, t *task) {
+		away := h.cut || h.hung || h.muted || h.shut
+		if away {
+			w.met["leaders change while tasks are on machines that can't be reached"]++
+		}
+		if away && t.job.cancelTold && full[t.job.spec.Team] > w.team(t.job.spec.Team).CPUsMax-4 {
+			w.met["the same with a team at its limit and its job called off"]++
+		}
+	})
+}
+
+// leaderEnds notes what the end of a leader meets.
+func (w *World) leaderEnds(down time.Duration) {
+	if down < time.Second {
+		w.met["a leader ends and is back within a second"]++
+	}
+	if w.store.outage {
+		w.met["a leader ends in an outage"]++
+	}
+	w.running(func(h *host, _ *task) {
+		if w.faults.quickBoots && w.faults.slowState > 0 && w.now-h.up < 5*time.Second {
+			w.met["a leader ends while writes lag and machines just up have work"]++
+		}
+	})
+}
+
+// calledOff notes what a confirmed cancellation meets.
+func (w *World) calledOff(j *simJob) {
+	if w.now-w.ledSince < 3*time.Second {
+		w.met["a cancellation told as leaders change"]++
+	}
+	if w.faults.slowState > 0 {
+		w.met["a cancellation told while the state service is slow"]++
+	}
+	for _, n := range w.nodes {
+		if n.cutOff && n == w.led {
+			w.met["a cancellation told by others while the leader has its workers alone"]++
+		}
+	}
+	w.running(func(h *host, t *task) {
+		if t.job == j && h.hung {
+			w.met["a cancellation told while a machine of the job hangs"]++
+		}
+	})
+}
+
+// carriedOut notes a transaction whose answer is lost.
+func (w *World) carriedOut(sent time.Duration, r controller.StateReply) {
+	switch late := w.now-sent > time.Second; {
+	case r.Status != http.StatusOK && late:
+		w.met["a late transaction refused for newer ones"]++
+	case r.Status == http.StatusOK && late:
+		w.met["a late transaction carried out"]++
+	case r.Status == http.StatusOK:
+		w.met["a transaction carried out, its answer lost"]++
+	}
+}
+
+// commanded notes a direct command that arrives when its sender has given it up, or
+// where no report goes out.
+func (w *World) commanded(h *host, answer bool, status int) {
+	switch {
+	case !answer && status == http.StatusOK:
+		w.met["a held command, or one with its answer held, is carried out"]++
+	case h.shut:
+		w.met["a direct command reaches a machine that reaches nobody"]++
+	}
+}
+
+// oldReport notes a copy of a report that arrives after newer ones.
+func (w *World) oldReport(h *host, n *node, r *wire.Report) {
+	if r.Session < h.session {
+		w.met["a report from an earlier session arrives"]++
+	}
+	if n.leads() && w.now-w.ledSince < 2*time.Second && r.Token < w.topToken {
+		w.met["an old report arrives as a new leader begins"]++
+	}
+}
+
+// taskEnded notes jobs of a few tasks whose ends are on both sides of a change of leaders.
+func (w *World) taskEnded(j *simJob) {
+	if j.firstEnd == 0 {
+		j.firstEnd = w.now
+	} else if j.spec.Tasks <= 3 && j.firstEnd < w.ledSince {
+		w.met["tasks of a small job end on both sides of a change of leaders"]++
+	}
+}
+
+// losesTasks notes jobs bound to a zone that lose a machine.
+func (w *World) losesTasks(h *host) {
+	for _, t := range h.tasks {
+		if t.onMachine() && (t.job.spec.Zone != "" || t.job.spec.OneZone) {
+			w.met["a job bound to a zone loses a machine"]++
+		}
+	}
+}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -69,12 +69,14 @@
 		}
 		if body, ok := o.Body.(wire.ReportAnswer); ok {
 			token = body.Token
+			w.answersReport(n)
 		}
 	}
 	if token < w.topToken {
 		w.broken("authority", "%s acts with token %d after %d", n.name, token, w.topToken)
 	}
 	if token > w.topToken {
+		w.leaderActs(n)
 		for _, fn := range w.kept { // a new leader has begun, or ours has raised its token
 			w.after(w.latency(), fn)
 		}
@@ -255,6 +257,7 @@
 	}
 	if s.State == wire.StateCancelled && !j.cancelTold {
 		j.cancelTold, j.cancelledAt = true, w.now
+		w.calledOff(j)
 		w.checkCancelled(j)
 	}
 }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -52,17 +53,63 @@
 		replay(t, one, meetingShape, func(w *World, troubles, calm time.Duration) { MeetingDay(w, troubles, calm+90*time.Second) })
 		return
 	}
-	days := daysOf("PUMICEFRONT_MEETINGS", 40)
-	for seed := range uint64(days) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			w := New(seed, meetingShape(seed))
-			MeetingDay(w, troubled, calmOf(w)+90*time.Second)
-			report(t, seed, w)
-		})
+	days := daysOf("PUMICEFRONT_MEETINGS", 48)
+	var mu sync.Mutex
+	met := map[string]int{}
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(days) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				w := New(seed, meetingShape(seed))
+				MeetingDay(w, troubled, calmOf(w)+90*time.Second)
+				report(t, seed, w)
+				mu.Lock()
+				defer mu.Unlock()
+				for what := range w.met {
+					met[what]++
+				}
+			})
+		}
+	})
+	for _, what := range meetings {
+		t.Logf("%4d of %d days: %s", met[what], days, what)
+		if met[what] == 0 {
+			t.Errorf("on none of the days: %s", what)
+		}
 	}
 }
 
+// meetings must each come about on some of the days; docs/meetings.md lists them.
+var meetings = []string{
+	"leases renewed in an outage after a cancellation was told",
+	"by a leader that had been refused alone",
+	"all controllers away for longer than a lease",
+	"leaders change twice within four seconds",
+	"a leader ends in an outage",
+	"asked at all nodes after a final answer",
+	"the same with a team at its limit and its job called off",
+	"one-task job of a burst called off",
+	"a transaction carried out, its answer lost",
+	"a held command, or one with its answer held, is carried out",
+	"a job bound to a zone loses a machine",
+	"a cancellation told as leaders change",
+	"a leader ends and is back within a second",
+	"a cancellation told while the state service is slow",
+	"a cancellation told while a machine of the job hangs",
+	"a report from an earlier session arrives",
+	"an old report arrives as a new leader begins",
+	"a leader ends while writes lag and machines just up have work",
+	"leaders change while tasks are on machines that can't be reached",
+	"much more work than room over slow links",
+	"called off at the end of its last task",
+	"a late transaction refused for newer ones",
+	"a late transaction carried out",
+	"a cancellation told by others while the leader has its workers alone",
+	"tasks of a small job end on both sides of a change of leaders",
+	"a zone with a controller cut off",
+	"a direct command reaches a machine that reaches nobody",
+}
+
 // meetingShape gives every fourth day five controllers, and GPUs to another fourth.
 func meetingShape(seed uint64) Shape {
 	switch five := Small; seed % 4 {
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -30,6 +30,7 @@
 	cancelledAt time.Duration
 	begun       bool          // a task has started
 	ended       bool          // its last task has
+	firstEnd    time.Duration // when a task of it ended first
 	known       time.Duration // when a question about it was answered last
 }
 
@@ -74,6 +75,7 @@
 	j.spec.Tasks, j.done, j.run = 1, j.done[:1], u.w.between(time.Second, 4*time.Second)
 	u.enter(j)
 	if u.w.chance(0.25) {
+		u.w.met["one-task job of a burst called off"]++
 		u.w.after(u.w.between(0, 6*time.Second), func() { u.cancel(j) })
 	}
 }
@@ -252,6 +254,7 @@
 // ended is called as the last task of a job ends: some users call it off right then.
 func (u *users) ended(j *simJob) {
 	if u.w.chance(u.w.faults.cancelAtEnd) {
+		u.w.met["called off at the end of its last task"]++
 		u.cancel(j)
 	}
 	u.lookClosely(j)
@@ -277,6 +280,9 @@
 
 func (u *users) look(n *node, j *simJob, r controller.UserRequest) {
 	before, accepted := j.told(), j.accepted
+	if before.done || before.cancelled {
+		u.w.met["asked at all nodes after a final answer"]++
+	}
 	u.requestOf(n, r, func(a controller.Answer) {
 		switch {
 		case a.Status == http.StatusOK:
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -61,9 +61,12 @@
 
 	shape    Shape
 	faults   faults
-	still    bool          // nothing is lost, copied or late by chance
-	topToken uint64        // the highest that anything was sent with
-	kept     []func()      // copies of reports, for the next leader
+	still    bool     // nothing is lost, copied or late by chance
+	topToken uint64   // the highest that anything was sent with
+	kept     []func() // copies of reports, for the next leader
+	met      map[string]int
+	led      *node // who acted for all last, and since when
+	ledSince time.Duration
 	calmFrom time.Duration // when all troubles were over; 0: not yet
 	rng      *rand.Rand
 	start    time.Time
@@ -135,7 +138,7 @@
 	w := &World{
 		shape: shape,
 		rng:   rand.New(rand.NewPCG(seed, 77)), start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
-		op: config.DefaultOperator(), Log: func(string, ...any) {},
+		op: config.DefaultOperator(), Log: func(string, ...any) {}, met: map[string]int{},
 	}
 	w.cfg = settings(shape)
 	w.store = newStore(w)
@@ -272,6 +275,9 @@
 		return
 	}
 	n.w.Log("%v crash %s", n.w.now, n.name)
+	if n.leads() {
+		n.w.leaderEnds(down)
+	}
 	n.core = nil
 	n.freezing, n.frozen, n.held = 0, false, nil
 	for _, again := range n.sent {
@@ -435,6 +441,7 @@
 		return // until the call is given up
 	}
 	late, lost := w.latency()+w.between(0, w.faults.slowState), w.mishap(0.004)
+	sent := w.now
 	if call.Op == controller.OpTxn {
 		if w.mishap(0.004) || w.chance(w.faults.lateWrites) {
 			late, lost = w.between(time.Second, 20*time.Second), true
@@ -443,6 +450,9 @@
 	}
 	w.after(late, func() {
 		w.store.handle(n, call, func(r controller.StateReply) {
+			if call.Op == controller.OpTxn && lost {
+				w.carriedOut(sent, r)
+			}
 			if !lost && !n.cutOff {
 				w.after(w.latency(), func() { reply(r) })
 			}
@@ -469,6 +479,7 @@
 		return func() {
 			h.reach(func() {
 				status, rep := h.commands(call.Commands)
+				w.commanded(h, answer, status)
 				if answer {
 					w.after(w.latency(), func() { reply(controller.WorkerReply{Status: status, Report: rep}) })
 				}
