Job chains: jobs are nodes of one growing graph, kept by every controller

The leader releases a job when the final records of all that it needs are read or written; times count from then, and survive in the final records. Priority and deadline of the last job pass back over the chain.

Two versions: each process notes its version under c/v/; chains are accepted, and what an earlier version has stored in records larger than may be written now is divided, only when all members have noted one that knows them. Values and transactions keep within state.next from the start; the rate is lowered when changes are refused beyond what the budgets explain.

--- a/config/config.go
+++ b/config/config.go
@@ -43,12 +43,7 @@
 		LeaseS  float64 `toml:"lease_s"`
 		CancelS float64 `toml:"cancel_s"`
 	} `toml:"workers"`
-	State struct {
-		RPS      float64 `toml:"rps"`
-		WriteRPS float64 `toml:"write_rps"`
-		ValueKB  float64 `toml:"value_kb"`
-		TxnOps   int     `toml:"txn_ops"`
-	} `toml:"state"`
+	State State `toml:"state"`
 	Cloud struct {
 		RPS      float64 `toml:"rps"`
 		ListLagS float64 `toml:"list_lag_s"`
@@ -59,6 +54,44 @@
 	} `toml:"resources"`
 }
 
+// State holds the limits of the state service, and in Next those that it will have
+// from a moment that nobody announces; what Next doesn't name stays.
+type State struct {
+	Limits
+	Next struct {
+		RPS      *float64 `toml:"rps"`
+		WriteRPS *float64 `toml:"write_rps"`
+		ValueKB  *float64 `toml:"value_kb"`
+		TxnOps   *int     `toml:"txn_ops"`
+	} `toml:"next"`
+}
+
+// Limits of the state service.
+type Limits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Coming are the limits from that moment on.
+func (s State) Coming() Limits {
+	return Limits{orNow(s.Next.RPS, s.RPS), orNow(s.Next.WriteRPS, s.WriteRPS), orNow(s.Next.ValueKB, s.ValueKB), orNow(s.Next.TxnOps, s.TxnOps)}
+}
+
+// Tightest hold before and after it.
+func (s State) Tightest() Limits {
+	next := s.Coming()
+	return Limits{min(s.RPS, next.RPS), min(s.WriteRPS, next.WriteRPS), min(s.ValueKB, next.ValueKB), min(s.TxnOps, next.TxnOps)}
+}
+
+func orNow[N int | float64](next *N, now N) N {
+	if next == nil {
+		return now
+	}
+	return *next
+}
+
 // Team is a team's guarantee and limit.
 type Team struct {
 	Name    string  `toml:"name"`
@@ -212,7 +245,7 @@
 			return fmt.Errorf("field facts.teams: team %q has no name, or a guarantee outside its limit", t.Name)
 		}
 	}
-	f := &p.Facts
+	f, next := &p.Facts, p.Facts.State.Coming()
 	return checkFields([]field{
 		{"facts.workers.report_s", f.Workers.ReportS, 0.01, 3600},
 		{"facts.workers.lease_s", f.Workers.LeaseS, 0.1, 86400},
@@ -221,6 +254,10 @@
 		{"facts.state.write_rps", f.State.WriteRPS, 5, 1e6},
 		{"facts.state.value_kb", f.State.ValueKB, 1, 1e4},
 		{"facts.state.txn_ops", float64(f.State.TxnOps), 4, 1e4},
+		{"facts.state.next.rps", next.RPS, 10, 1e6},
+		{"facts.state.next.write_rps", next.WriteRPS, 5, 1e6},
+		{"facts.state.next.value_kb", next.ValueKB, 1, 1e4},
+		{"facts.state.next.txn_ops", float64(next.TxnOps), 4, 1e4},
 		{"facts.cloud.rps", f.Cloud.RPS, 0.1, 1e4},
 		{"facts.cloud.list_lag_s", f.Cloud.ListLagS, 0, 3600},
 		{"facts.resources.memory_mb", f.Resources.MemoryMB, 32, 1e6},
--- /dev/null
+++ b/controller/chains.go
@@ -0,0 +1,264 @@
+package controller
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/reduction"
+	"pumicefront/wire"
+)
+
+// Jobs that need others are the nodes of one growing graph, which every controller keeps
+// for the headers that it holds. A cancellation is a failure that closes downstream:
+// since a job starts nothing before all that it needs are done, whatever fails by
+// closure has never run, and every controller can tell its users so from the headers
+// alone. The final record of a cancelled job is written only when no unfinished job
+// needs it any more, so the closure never loses what it rests on.
+
+// link takes a header into the graph and tells the leader what changes by it.
+func (c *Core) link(id string, h *headerRecord) {
+	if h.Cancelled {
+		c.moved(c.chains.Accumulate(id, reduction.Cancelled))
+		return
+	}
+	if len(h.Job.Needs) == 0 {
+		return
+	}
+	c.moved(c.chains.Add(id, h.Job.Needs))
+	for _, p := range h.Job.Needs {
+		if ph := c.control.headers[p]; ph != nil && ph.Cancelled {
+			c.moved(c.chains.Accumulate(p, reduction.Cancelled))
+		} else if f, over := c.final.jobs[p]; over {
+			c.ended(p, f)
+		} else if ph == nil && c.lead != nil && c.lead.recovered {
+			c.lead.askEnd(p)
+		}
+	}
+}
+
+// unlink takes in that a header is gone.
+func (c *Core) unlink(id string, h *headerRecord) {
+	c.chains.Drop(id)
+	l := c.lead
+	if l == nil || !l.recovered {
+		return
+	}
+	for _, p := range h.Job.Needs { // the end of one that is cancelled may be due now
+		if j := l.jobs[p]; j != nil && j.cancelled {
+			l.settle(j)
+		}
+	}
+	if len(c.chains.Successors(id)) > 0 && c.chains.Status(id) == reduction.Pending {
+		l.askEnd(id)
+	}
+}
+
+// over takes in the final record of a job.
+func (c *Core) over(id string, f finalRecord) {
+	c.final.add(id, f)
+	c.ended(id, f)
+}
+
+func (c *Core) ended(id string, f finalRecord) {
+	o := reduction.Succeeded
+	if f.Cancelled {
+		o = reduction.Cancelled
+	}
+	c.moved(c.chains.Accumulate(id, o))
+}
+
+// moved tells the leader of jobs that are ready or called off by what became of others.
+func (c *Core) moved(ids []string) {
+	l := c.lead
+	if l == nil || !l.recovered {
+		return
+	}
+	for _, id := range ids {
+		j := l.jobs[id]
+		switch {
+		case j == nil:
+		case c.withdrawn(id):
+			c.log(slog.LevelInfo, "job cancelled with what it needs", "job", id)
+			l.cancel(j)
+			l.settle(j)
+		default:
+			l.becameReady(j)
+		}
+	}
+}
+
+// withdrawn tells whether an unfinished job is cancelled, itself or by one that it needs.
+func (c *Core) withdrawn(id string) bool {
+	h := c.control.headers[id]
+	return h != nil && (h.Cancelled || c.chains.Status(id) == reduction.Failed)
+}
+
+// held tells whether a job waits for others: it starts nothing, rents nothing, and takes
+// no part of its team's guarantee.
+func (l *lead) held(j *job) bool {
+	return len(j.spec.Needs) > 0 && l.c.chains.Classify(j.id) == reduction.Waiting
+}
+
+// askEnd finds out how a job ended that others need and whose header is gone: nothing
+// but its final record tells.
+func (l *lead) askEnd(id string) {
+	c := l.c
+	c.lookup(id, func(k known) {
+		switch {
+		case c.lead != l || k == knownActive:
+		case k == knownFinal:
+			c.ended(id, c.final.jobs[id])
+		default:
+			c.after(time.Second, func() {
+				if c.lead == l {
+					l.askEnd(id)
+				}
+			})
+		}
+	})
+}
+
+// askEnds asks for all that unfinished jobs need and that this leader knows nothing of.
+func (l *lead) askEnds() {
+	for _, j := range l.order {
+		for _, p := range j.spec.Needs {
+			if l.c.control.headers[p] == nil && l.c.chains.Status(p) == reduction.Pending {
+				l.askEnd(p)
+			}
+		}
+	}
+}
+
+// becameReady takes in that a job is ready: its times count from the end of the last job
+// that it needs, also for a leader that was not there.
+func (l *lead) becameReady(j *job) {
+	j.ready = j.accepted
+	for _, p := range j.spec.Needs {
+		if at := time.UnixMilli(l.c.final.jobs[p].EndedMS); at.After(j.ready) {
+			j.ready = at
+		}
+	}
+	l.arrived(j)
+	l.wantPlacement()
+	if len(j.spec.Needs) > 0 {
+		l.c.log(slog.LevelInfo, "job ready", "job", j.id, "after", l.c.now.Sub(j.accepted))
+	}
+}
+
+// deadline is by when a job should end: its own time, or that of the last job of its
+// chain less what is estimated for those between.
+type deadline struct {
+	last   *wire.Job // whose time it is; nil: there is none
+	from   time.Time // its submission
+	before float64   // seconds before its end
+}
+
+// within is in how many seconds from d.from a job should end, where the last one has
+// the given multiple of its time.
+func (d deadline) within(times float64) float64 { return *d.last.DeadlineS*times - d.before }
+
+func (d deadline) at() time.Time { return d.from.Add(config.Seconds(d.within(1))) }
+
+// sooner tells whether d presses more than o.
+func (d deadline) sooner(o deadline) bool {
+	return d.last != nil && (o.last == nil || d.at().Before(o.at()))
+}
+
+// passBack gives the jobs that a job needs its priority and its deadline, where those
+// press more than their own. It stops where nothing changes.
+func (l *lead) passBack(j *job) {
+	d := j.due
+	d.before += j.spec.EstimateS + l.slowestFetch(&j.spec)
+	for _, p := range j.spec.Needs {
+		needed := l.jobs[p]
+		if needed == nil {
+			continue
+		}
+		sooner := d.sooner(needed.due)
+		if !sooner && j.terms.Rank >= needed.terms.Rank {
+			continue
+		}
+		if sooner {
+			needed.due = d
+		}
+		needed.terms.Rank = min(needed.terms.Rank, j.terms.Rank)
+		l.passBack(needed)
+	}
+}
+
+// needs finds out of a submission's predecessors that all were accepted, and whether one
+// is cancelled. What can't be known now is answered with 503. fn gets the conditions
+// that hold the answer true until the job's record is written.
+func (c *Core) needs(r UserRequest, job *wire.Job, fn func(cancelled bool, conds []wire.Cond)) {
+	left, unsure, refused := len(job.Needs), false, false
+	done := func() {
+		cancelled := false
+		var conds []wire.Cond
+		for _, p := range job.Needs {
+			h, f := c.control.headers[p], c.final.jobs[p]
+			switch {
+			case f.Cancelled || c.withdrawn(p):
+				cancelled = true
+			case h != nil && h.Job.Kind == wire.KindService:
+				refused = true // it is never done
+			case h != nil:
+				conds = append(conds, wire.Cond{Key: headerKey(p), Version: c.control.versions[headerKey(p)]})
+			}
+		}
+		switch {
+		case refused:
+			c.answer(r.Req, http.StatusUnprocessableEntity, wire.Error{Error: "needs a job that was never accepted, or a service"})
+		case unsure:
+			c.later(r.Req, "can't tell yet whether the jobs that it needs were accepted")
+		case !cancelled && len(conds) > c.maxConds():
+			c.later(r.Req, "needs too many unfinished jobs for now")
+		default:
+			fn(cancelled, conds)
+		}
+	}
+	for _, p := range job.Needs {
+		c.lookup(p, func(k known) {
+			left--
+			refused = refused || k == knownNot
+			unsure = unsure || k == knownUnsure
+			if left == 0 {
+				done()
+			}
+		})
+	}
+}
+
+// maxConds is how many conditions one transaction may have beside its job's own.
+func (c *Core) maxConds() int { return 4*c.cfg.Facts.State.Tightest().TxnOps - 2 }
+
+// Versions. Old ones may lead beside new ones while a deployment is upgraded, and would
+// run a job without waiting for what it needs. Every process notes its version; when all
+// members have noted one that knows chains, no older one comes back.
+
+// announce notes this process's version where it isn't noted yet.
+func (c *Core) announce() {
+	if !c.control.loaded || c.announcing || c.control.members[c.cfg.Member] >= thisVersion {
+		return
+	}
+	c.announcing = true
+	key := versionPrefix + c.cfg.Member
+	set := put(key, versionRecord{thisVersion})
+	txn := wire.Txn{If: []wire.Cond{{Key: key, Version: c.control.versions[key]}}, Then: []wire.Change{set}}
+	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(r StateReply) {
+		if r.Status == http.StatusOK {
+			c.written(wire.Event{Put: key, Value: set.Value, Version: r.Txn.Revision})
+		}
+		c.after(time.Second, func() { c.announcing = false })
+	})
+}
+
+// upgraded tells whether no version can run any more that doesn't know chains.
+func (c *Core) upgraded() bool {
+	least := c.control.members[c.cfg.Member]
+	for _, o := range c.cfg.Others {
+		least = min(least, c.control.members[o.Member])
+	}
+	return least >= thisVersion
+}
--- a/controller/control.go
+++ b/controller/control.go
@@ -18,6 +18,7 @@
 	leader          *leaderRecord
 	token           uint64
 	headers         map[string]*headerRecord
+	members         map[string]int // the version that each member has noted
 
 	syncing   bool
 	unreached bool      // the last sync failed; it is tried again until one succeeds
@@ -28,6 +29,7 @@
 func (k *control) init() {
 	k.versions = map[string]uint64{}
 	k.headers = map[string]*headerRecord{}
+	k.members = map[string]int{}
 }
 
 // maxWaiting bounds the requests that wait for one sync.
@@ -216,6 +218,10 @@
 		if t := decode[wire.MachineTypes](e.Value); t != nil {
 			c.setTypes(t.Types)
 		}
+	case strings.HasPrefix(key, versionPrefix):
+		if v := decode[versionRecord](e.Value); v != nil {
+			c.control.members[strings.TrimPrefix(key, versionPrefix)] = v.Version
+		}
 	case strings.HasPrefix(key, headerPrefix):
 		c.headerChanged(strings.TrimPrefix(key, headerPrefix), decode[headerRecord](e.Value))
 	}
@@ -233,11 +239,15 @@
 }
 
 func (c *Core) headerChanged(job string, h *headerRecord) {
-	if h == nil {
+	was := c.control.headers[job]
+	switch {
+	case h != nil:
+		c.control.headers[job] = h
+		c.link(job, h)
+	case was != nil:
 		delete(c.control.headers, job)
 		delete(c.progress, job)
-	} else {
-		c.control.headers[job] = h
+		c.unlink(job, was)
 	}
 	if c.lead != nil && c.lead.recovered {
 		c.lead.header(job, h)
--- a/controller/core.go
+++ b/controller/core.go
@@ -10,6 +10,7 @@
 
 	"pumicefront/config"
 	"pumicefront/mesh"
+	"pumicefront/reduction"
 	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
@@ -64,7 +65,11 @@
 	measure  scheduler.Measure
 	final    finals
 	progress map[string]jobCount
+	chains   *reduction.Growing // unfinished jobs that need others, and those
 
+	announcing bool // see announce
+	refusals   int  // see paced
+	tight      bool // the state service has its coming limits
 	claiming   bool
 	claimAfter time.Time
 	endAfter   time.Time
@@ -88,16 +93,18 @@
 func New(cfg *config.Platform, op config.Operator, rng *rand.Rand, now time.Time) *Core {
 	share := 1 / float64(len(cfg.Others)+1)
 	st := cfg.Facts.State
+	burst := max(2, int(st.Tightest().WriteRPS*burstShare))
 	c := &Core{
 		cfg: cfg, op: op, rng: rng, now: now,
 		stateCalls:  map[uint64]func(StateReply){},
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
 		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
-		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*userWrites*share), max(2, int(st.WriteRPS*burstShare))),
+		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*userWrites*share), burst),
 		types:       map[string]wire.MachineType{},
 		quotas:      map[string]quota{},
 		progress:    map[string]jobCount{},
+		chains:      reduction.NewGrowing(),
 		hints:       map[string]*mesh.Hint{},
 		knocks:      map[string]*wire.Job{},
 		// An answer that an earlier process of this controller asked for over the mesh
@@ -145,6 +152,7 @@
 		if !c.control.loaded && !c.control.loading {
 			c.load()
 		}
+		c.announce()
 	case StateReply:
 		resume(c.stateCalls, in.ID, in)
 	case CloudReply:
@@ -198,10 +206,61 @@
 
 func (c *Core) state(call StateCall, fn func(StateReply)) {
 	call.ID = c.id()
+	if call.Op == OpTxn {
+		told := fn
+		fn = func(r StateReply) {
+			c.paced(r.Status)
+			told(r)
+		}
+	}
 	c.stateCalls[call.ID] = fn
 	c.emit(call)
 }
 
+// tightAfter is how many changes must be refused for the rate, more than are taken
+// meanwhile, before the coming rate is taken to hold. Budgets add up to more than the
+// rate, so that some are refused at any time.
+const tightAfter = 12
+
+// paced learns from what becomes of transactions that the limits have become those
+// that are to come, which nobody announces.
+func (c *Core) paced(status int) {
+	switch {
+	case c.tight:
+		return
+	case status == http.StatusTooManyRequests:
+		c.refusals += 3
+	case status == http.StatusOK:
+		c.refusals = max(c.refusals-1, 0)
+	}
+	if c.refusals >= 3*tightAfter && c.cfg.Facts.State.Coming() != c.cfg.Facts.State.Limits {
+		c.tighten()
+	}
+}
+
+// tighten goes over to the coming limits.
+func (c *Core) tighten() {
+	c.tight = true
+	c.writes.SetLimitAt(c.now, c.userRate())
+	if c.lead != nil {
+		c.lead.pace()
+	}
+	c.log(slog.LevelInfo, "the state service has its coming limits", "changes", c.writeRate())
+}
+
+// writeRate is how many changes a second the state service takes.
+func (c *Core) writeRate() float64 {
+	if c.tight {
+		return c.cfg.Facts.State.Tightest().WriteRPS
+	}
+	return c.cfg.Facts.State.WriteRPS
+}
+
+// userRate is what of that each controller spends on users.
+func (c *Core) userRate() rate.Limit {
+	return rate.Limit(c.writeRate() * userWrites / float64(len(c.cfg.Others)+1))
+}
+
 func (c *Core) cloud(call CloudCall, fn func(CloudReply)) {
 	call.ID, call.Timeout = c.id(), cloudCallTimeout
 	c.cloudCalls[call.ID] = fn
--- a/controller/door.go
+++ b/controller/door.go
@@ -32,7 +32,9 @@
 	if len(c.knocks) == 0 {
 		c.after(knocksEvery, c.tellKnocks)
 	}
-	c.knocks[job.ID] = job
+	if len(job.Needs) == 0 { // what waits for others wants no room yet
+		c.knocks[job.ID] = job
+	}
 	c.later(r.Req, "too many submissions")
 }
 
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -348,7 +348,7 @@
 func (l *lead) trackPeaks() {
 	now := map[string]float64{}
 	for _, j := range l.order {
-		if j.cancelled {
+		if j.cancelled || l.held(j) {
 			continue
 		}
 		class := j.spec.Class
@@ -376,6 +376,11 @@
 	at    time.Time
 }
 
+// arrived notes a job that is ready.
+func (l *lead) arrived(j *job) {
+	l.arrivals = append(l.arrivals, arrival{j.spec.Class, j.spec.Tasks, j.ready})
+}
+
 // surge is by how many tasks the arrivals of a class may exceed their mean while
 // a machine boots. Jobs come one by one and bring all their tasks at once, so the
 // variance is that of the sum of their sizes: many small jobs need far less room
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -24,11 +24,15 @@
 	// No user was told of the cancellation before: it was not in what the leader had seen.
 	cancelledAt time.Time
 	accepted    time.Time
+	ready       time.Time // all that it needs was done: its times count from then
+	due         deadline
 	graph       *reduction.Graph
 	state       *reduction.State
 	attempts    map[int]*attempt
 	per         int
 	chunks      []chunk
+	small       bool     // chunks are smaller than the header says, see shrink
+	larger      []string // records of the larger ones, which stay until the job is over
 	retryAt     map[int]time.Time
 	fails       map[int]int
 	avoid       map[string]bool
@@ -109,10 +113,13 @@
 		l.addJob(id, h)
 	}
 	for _, it := range tasks {
-		id, n, ok := splitChunk(it.Key)
+		id, n, small, ok := splitChunk(it.Key)
 		rec := decode[taskRecord](it.Value)
 		j := l.jobs[id]
-		if !ok || rec == nil || j == nil || n >= len(j.chunks) {
+		if j != nil && small && !j.small {
+			l.shrink(j) // the larger records come first, by their names
+		}
+		if !ok || rec == nil || j == nil || small != j.small || n >= len(j.chunks) {
 			l.orphans = append(l.orphans, it.Key)
 			continue
 		}
@@ -120,13 +127,14 @@
 	}
 	for _, j := range l.order {
 		reduction.Recover(j.state)
-		if c.control.headers[j.id].Cancelled {
+		if c.withdrawn(j.id) {
 			l.cancel(j)
 		}
 		l.settle(j)
 	}
 	l.fleet.restore(l, hires)
 	l.recovered = true
+	l.askEnds()
 	c.log(slog.LevelInfo, "recovered", "token", l.token, "jobs", len(l.jobs), "machines", len(l.machines),
 		"after", c.now.Sub(l.elected))
 	for _, id := range slices.Sorted(maps.Keys(c.hints)) {
@@ -138,6 +146,15 @@
 }
 
 func (l *lead) restore(j *job, n int, rec *taskRecord, version uint64) {
+	if j.small { // it stands for its tasks instead of what a larger record says of them
+		for t := n * j.per; t < min((n+1)*j.per, j.spec.Tasks); t++ {
+			if a := j.attempts[t]; a != nil {
+				delete(j.attempts, t)
+				a.machine.drop(a)
+			}
+			j.state.Accumulate(t, reduction.Reset)
+		}
+	}
 	j.chunks[n].version, j.chunks[n].next = version, rec.Next
 	for _, r := range rec.Done {
 		for t := r[0]; t <= r[1] && t < j.spec.Tasks; t++ {
@@ -163,16 +180,27 @@
 	per := max(1, h.PerChunk)
 	g := reduction.Independent(h.Job.Tasks)
 	j := &job{
-		id: id, spec: h.Job, accepted: time.UnixMilli(h.AcceptedMS),
+		id: id, spec: h.Job, accepted: time.UnixMilli(h.AcceptedMS), ready: time.UnixMilli(h.AcceptedMS),
 		graph: g, state: reduction.NewState(g), attempts: map[int]*attempt{}, per: per,
 		chunks:  make([]chunk, (h.Job.Tasks+per-1)/per),
 		retryAt: map[int]time.Time{}, fails: map[int]int{}, avoid: map[string]bool{},
 	}
 	j.terms = &scheduler.Terms{Job: id, Team: h.Job.Team, Rank: slices.Index(wire.Priorities, h.Job.Priority),
 		Each: jobEach(&h.Job), CheckpointS: h.Job.CheckpointS}
+	if j.spec.DeadlineS != nil {
+		j.due = deadline{last: &j.spec, from: j.accepted}
+	}
 	l.sharesAt = time.Time{}
-	l.arrivals = append(l.arrivals, arrival{h.Job.Class, h.Job.Tasks, j.accepted})
 	l.jobs[id] = j
+	for _, s := range l.c.chains.Successors(id) { // they may be known first
+		if later := l.jobs[s]; later != nil {
+			l.passBack(later)
+		}
+	}
+	l.passBack(j)
+	if !l.held(j) {
+		l.becameReady(j)
+	}
 	at, _ := slices.BinarySearchFunc(l.order, j, func(a, b *job) int {
 		if n := a.accepted.Compare(b.accepted); n != 0 {
 			return n
@@ -195,7 +223,7 @@
 		l.c.log(slog.LevelInfo, "job accepted", "job", id, "class", h.Job.Class, "team", h.Job.Team, "tasks", h.Job.Tasks)
 		l.wantPlacement()
 	}
-	if h.Cancelled && !j.cancelled {
+	if l.c.withdrawn(id) && !j.cancelled {
 		l.c.log(slog.LevelInfo, "job cancelled", "job", id)
 		l.cancel(j)
 		l.settle(j)
@@ -361,24 +389,27 @@
 
 // compose makes the write that is due for a job; nil: nothing is.
 func (l *lead) compose(j *job) *write {
+	if !j.small && j.per > l.perChunk() && l.c.upgraded() {
+		l.shrink(j)
+	}
 	w := &write{id: l.c.rng.Uint64() >> 1} // no other leader's write may look like ours
 	w.txn.If = []wire.Cond{l.mine(), {Key: headerKey(j.id), Version: l.c.control.versions[headerKey(j.id)]}}
 	settled, _ := reduction.Classify(j.graph, j.state)
 	switch {
-	case settled == reduction.Settled && len(j.attempts) == 0:
+	case settled == reduction.Settled && len(j.attempts) == 0 && (!j.cancelled || len(l.c.chains.Successors(j.id)) == 0):
 		l.composeFinal(j, w)
 		return w
 	case j.cancelled:
 		j.dirty = false // nothing but the end is worth a write
 		return nil
 	}
-	budget, size := l.c.cfg.Facts.State.TxnOps, 0
+	budget, size := l.c.cfg.Facts.State.Tightest().TxnOps, 0
 	for n := range j.chunks {
 		if !j.chunks[n].dirty || len(w.chunks) >= budget || size > 40<<10 {
 			continue
 		}
 		rec, as := l.chunkRecord(j, n, w.id)
-		key := chunkKey(j.id, n)
+		key := j.chunkKey(n)
 		w.txn.If = append(w.txn.If, wire.Cond{Key: key, Version: j.chunks[n].version})
 		change := put(key, rec)
 		size += 2 * len(change.Value)
@@ -396,10 +427,43 @@
 
 // composeFinal moves the job from its header to its final record.
 func (l *lead) composeFinal(j *job, w *write) {
-	w.final = &finalRecord{Cancelled: j.cancelled, Tasks: j.spec.Tasks}
+	w.final = &finalRecord{Cancelled: j.cancelled, Tasks: j.spec.Tasks, EndedMS: l.c.now.UnixMilli()}
 	w.txn.Then = []wire.Change{put(finalKey(j.id), *w.final), {Delete: headerKey(j.id)}}
 }
 
+// perChunk is how many tasks go into a record now.
+func (l *lead) perChunk() int { return perChunk(l.c.cfg.Facts.State.Tightest().ValueKB) }
+
+func (j *job) chunkKey(n int) string {
+	if j.small {
+		return smallKey(j.id, n)
+	}
+	return chunkKey(j.id, n)
+}
+
+// shrink divides a job into smaller chunks than its header says: an earlier version has
+// fixed there how many tasks share a record, and that may be more than may be written
+// now. The larger records stay as they are, and a small one, once it is written, stands
+// for its tasks instead. No earlier version could read this, so it waits until none can
+// come back.
+func (l *lead) shrink(j *job) {
+	per := l.perChunk()
+	chunks := make([]chunk, (j.spec.Tasks+per-1)/per)
+	for n := range chunks {
+		for t := n * per; t < min((n+1)*per, j.spec.Tasks); t++ {
+			of := j.chunks[t/j.per]
+			chunks[n].next = max(chunks[n].next, of.next)
+			chunks[n].dirty = chunks[n].dirty || of.dirty
+		}
+	}
+	for n := range j.chunks {
+		if j.chunks[n].version > 0 {
+			j.larger = append(j.larger, chunkKey(j.id, n))
+		}
+	}
+	j.per, j.chunks, j.small = per, chunks, true
+}
+
 // chunkRecord encodes chunk n and lists its attempts that are not recorded yet.
 func (l *lead) chunkRecord(j *job, n int, id uint64) (taskRecord, []*attempt) {
 	rec := taskRecord{Write: id, Next: j.chunks[n].next}
@@ -493,13 +557,14 @@
 func (l *lead) forgetJob(j *job, f finalRecord) {
 	j.over = true
 	delete(l.jobs, j.id)
-	for n := range j.chunks { // nobody waits for their end
+	l.orphans = append(l.orphans, j.larger...) // nobody waits for their end
+	for n := range j.chunks {
 		if j.chunks[n].version > 0 {
-			l.orphans = append(l.orphans, chunkKey(j.id, n))
+			l.orphans = append(l.orphans, j.chunkKey(n))
 		}
 	}
 	l.order = slices.DeleteFunc(l.order, func(o *job) bool { return o == j })
-	l.c.final.add(j.id, f)
+	l.c.over(j.id, f)
 	delete(l.told, j.id)
 	if f.Cancelled {
 		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "cancelled")
@@ -566,9 +631,9 @@
 		return
 	}
 	for _, it := range items {
-		_, n, ok := splitChunk(it.Key)
+		_, n, small, ok := splitChunk(it.Key)
 		rec := decode[taskRecord](it.Value)
-		if !ok || rec == nil || n >= len(j.chunks) {
+		if !ok || rec == nil || small != j.small || n >= len(j.chunks) {
 			continue
 		}
 		if rec.Write == w.id && slices.Contains(w.chunks, n) {
@@ -584,7 +649,7 @@
 	// As many as there is budget for: more than a burst would never be allowed, and
 	// none of them ever removed.
 	left := min(l.writes.TokensAt(l.c.now), l.chores.TokensAt(l.c.now))
-	n := min(len(l.orphans), l.c.cfg.Facts.State.TxnOps, int(left))
+	n := min(len(l.orphans), l.c.cfg.Facts.State.Tightest().TxnOps, int(left))
 	if n <= 0 {
 		return
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -154,14 +154,15 @@
 }
 
 func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
-	st := c.cfg.Facts.State
+	burst := max(2, int(c.cfg.Facts.State.Tightest().WriteRPS*burstShare))
 	l := &lead{
 		c: c, token: token, first: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
-		writes: rate.NewLimiter(rate.Limit(st.WriteRPS*leadWrites), max(2, int(st.WriteRPS*burstShare))),
-		chores: rate.NewLimiter(rate.Limit(st.WriteRPS*choreWrites), max(2, int(st.WriteRPS*burstShare))),
+		writes: rate.NewLimiter(0, burst),
+		chores: rate.NewLimiter(0, burst),
 		sought: map[string]time.Time{}, told: map[string]jobCount{}, door: map[string]knock{}, bumpedAt: c.now, cutAt: map[string]time.Time{},
 	}
+	l.pace()
 	l.fleet.init()
 	c.lead = l
 	l.extend(sent)
@@ -170,6 +171,13 @@
 	l.readRecords()
 }
 
+// pace spends shares of the changes that the state service takes in a second.
+func (l *lead) pace() {
+	changes := rate.Limit(l.c.writeRate())
+	l.writes.SetLimitAt(l.c.now, changes*leadWrites)
+	l.chores.SetLimitAt(l.c.now, changes*choreWrites)
+}
+
 // extend counts the authority from before the renewal was sent, less what the
 // clocks may drift apart.
 func (l *lead) extend(sent time.Time) {
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -177,7 +177,7 @@
 	var cs []wire.Command
 	for _, t := range rep.Tasks {
 		id, _, _ := wire.SplitTask(t.ID)
-		if h := l.c.control.headers[id]; h != nil && h.Cancelled && t.State != wire.TaskExited {
+		if l.c.withdrawn(id) && t.State != wire.TaskExited {
 			cs = append(cs, wire.Command{Op: wire.OpStop, Task: t.ID, Attempt: t.Attempt})
 		}
 	}
--- a/controller/record.go
+++ b/controller/record.go
@@ -18,6 +18,7 @@
 	finalPrefix   = "f/"
 	taskPrefix    = "t/"
 	hirePrefix    = "h/"
+	versionPrefix = "c/v/"
 )
 
 // leaderRecord says who leads.
@@ -42,10 +43,20 @@
 
 // finalRecord is what is kept of a job that is over.
 type finalRecord struct {
-	Cancelled bool `cbor:"x,omitempty"`
-	Tasks     int  `cbor:"n"`
+	Cancelled bool  `cbor:"x,omitempty"`
+	Tasks     int   `cbor:"n"`
+	EndedMS   int64 `cbor:"e,omitempty"` // jobs that need it count their times from then
 }
 
+// versionRecord tells that a member runs a version of the service: it stays when that
+// has been replaced by a newer one, and an older one never comes back.
+type versionRecord struct {
+	Version int `cbor:"v"`
+}
+
+// thisVersion is the version that records and messages speak. 2 knows job chains.
+const thisVersion = 2
+
 // taskRecord holds a run of a job's tasks: those completed, as ranges, and the
 // attempts in force.
 type taskRecord struct {
@@ -77,18 +88,39 @@
 
 func chunkKey(job string, chunk int) string { return fmt.Sprintf("%s%s/%06d", taskPrefix, job, chunk) }
 
+// smallKey names a record of a job whose header asks for larger ones than may be
+// written: what it holds stands for its tasks instead of what a larger one says.
+func smallKey(job string, chunk int) string { return fmt.Sprintf("%s%s/s%06d", taskPrefix, job, chunk) }
+
 // splitChunk takes a task record's key apart.
-func splitChunk(key string) (job string, chunk int, ok bool) {
+func splitChunk(key string) (job string, chunk int, small, ok bool) {
 	job, num, found := strings.Cut(strings.TrimPrefix(key, taskPrefix), "/")
 	if !found {
-		return "", 0, false
+		return "", 0, false, false
 	}
+	num, small = strings.CutPrefix(num, "s")
 	_, err := fmt.Sscanf(num, "%d", &chunk)
-	return job, chunk, err == nil
+	return job, chunk, small, err == nil
 }
 
 // perChunk is how many tasks go into one task record so that it stays within
 // the largest value: a placement takes up to 60 bytes of it.
 func perChunk(valueKB float64) int { return max(1, int(valueKB*1024/80)) }
 
+// headerRoom is what a header may take of the largest value: a cancellation adds to it.
+const headerRoom = 64
+
+// cancelledHeader is a header with the cancellation in it. Where an earlier version has
+// stored more than may be written now, what nobody needs of a job that is called off is
+// left out.
+func cancelledHeader(h headerRecord, valueKB float64) []byte {
+	h.Cancelled = true
+	raw := wire.Marshal(h)
+	if float64(len(raw)) > valueKB*1024 {
+		h.Job.Types, h.Job.Needs, h.Job.Image, h.Job.Zone = nil, nil, "", ""
+		raw = wire.Marshal(h)
+	}
+	return raw
+}
+
 func put(key string, v any) wire.Change { return wire.Change{Put: key, Value: wire.Marshal(v)} }
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -135,7 +135,7 @@
 	var ds []*scheduler.Demand
 	l.dealShares()
 	for _, j := range l.order {
-		if j.cancelled || j.state.Count(reduction.Pending) == 0 {
+		if j.cancelled || j.state.Count(reduction.Pending) == 0 || l.held(j) {
 			continue
 		}
 		verdict, frontier := reduction.Classify(j.graph, j.state)
@@ -143,6 +143,7 @@
 			continue
 		}
 		d := l.c.demandOf(&j.spec)
+		d.Rank = j.terms.Rank
 		for _, t := range frontier {
 			if j.attempts[t] == nil && !l.c.now.Before(j.retryAt[t]) {
 				d.Tasks = append(d.Tasks, t)
@@ -154,8 +155,8 @@
 		if d.Loose = l.fetchMatters(&j.spec); d.Loose || d.Service {
 			d.Others = l.otherClasses(d.Class)
 		}
-		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.accepted).Seconds() > l.startAim(&j.spec)
-		d.Within, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.accepted).Seconds(), j.avoid
+		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.ready).Seconds() > l.startAim(&j.spec)
+		d.Within, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.ready).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
 		d.Begun, d.Waited = j.begun, l.waited(j)
 		for _, a := range j.attempts {
@@ -177,7 +178,7 @@
 const reserveShare = 1.0 / 8
 
 func (l *lead) waited(j *job) bool {
-	age := l.c.now.Sub(j.accepted)
+	age := l.c.now.Sub(j.ready)
 	return !j.begun && age > beginAfter || age > serveAfter
 }
 
@@ -188,7 +189,7 @@
 		left += l.c.measure.Of(m.Cap) * reserveShare
 	}
 	for _, j := range l.order {
-		if l.c.now.Sub(j.accepted) > serveAfter && j.spec.Kind != wire.KindService {
+		if l.c.now.Sub(j.ready) > serveAfter && j.spec.Kind != wire.KindService {
 			left -= float64(len(j.attempts)) * l.c.measure.Of(jobEach(&j.spec))
 		}
 	}
@@ -199,36 +200,28 @@
 // waited out several times the last of them, or has lost work to a failure, is
 // not passed over.
 func (l *lead) missed(j *job) int {
-	age := l.c.now.Sub(j.accepted).Seconds()
-	n, last := 0, 0.0
+	n, over := 0, 0.0 // by how many times the age exceeds the last of them
 	for _, o := range l.c.cfg.Facts.Objectives {
-		within, ok := finishWithin(o, &j.spec)
-		if !ok {
+		within, age := o.WithinS, l.c.now.Sub(j.ready).Seconds()
+		switch {
+		case o.Kind == "deadline" && j.due.last != nil && o.Class == j.due.last.Class:
+			within, age = j.due.within(o.Times), l.c.now.Sub(j.due.from).Seconds()
+		case o.Kind != "finished" || o.Class != j.spec.Class:
 			continue
 		}
-		last = math.Max(last, within)
 		if age+j.spec.EstimateS > within {
 			n++
 		}
+		if within > 0 && (over == 0 || age/within < over) {
+			over = age / within
+		}
 	}
-	if j.hurt || last > 0 && age > 4*last {
+	if j.hurt || over > 4 {
 		return 0
 	}
 	return n
 }
 
-// finishWithin tells in how many seconds a job should be finished, if an objective
-// says so for its class.
-func finishWithin(o config.Objective, j *wire.Job) (within float64, ok bool) {
-	switch {
-	case o.Class != j.Class:
-		return 0, false
-	case o.Kind == "deadline" && j.DeadlineS != nil:
-		return *j.DeadlineS * o.Times, true
-	}
-	return o.WithinS, o.Kind == "finished"
-}
-
 // workLeft estimates what is left of a job: the sizes of its tasks times seconds.
 func (l *lead) workLeft(j *job) float64 {
 	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * l.c.measure.Of(jobEach(&j.spec)) * j.spec.EstimateS
@@ -416,7 +409,7 @@
 	}
 	order := make([]ranked, 0, len(l.order))
 	for _, j := range l.order {
-		if !j.cancelled {
+		if !j.cancelled && !l.held(j) {
 			order = append(order, ranked{j, l.missed(j), l.workLeft(j)})
 		}
 	}
--- a/controller/users.go
+++ b/controller/users.go
@@ -146,7 +146,7 @@
 			k := knownUnsure
 			switch {
 			case r.Status == http.StatusOK && rec != nil:
-				f.add(job, *rec)
+				c.over(job, *rec)
 				k = knownFinal
 			case r.Status == http.StatusNotFound:
 				k = knownNot
@@ -195,7 +195,7 @@
 	if n.running > 0 {
 		s.State = wire.StateRunning
 	}
-	if h := c.control.headers[job]; h != nil && h.Cancelled {
+	if c.withdrawn(job) {
 		s.State = wire.StateCancelled
 	}
 	return s
@@ -210,42 +210,55 @@
 		c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
 		return // a repeat takes no share of the writes
 	}
-	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: perChunk(c.cfg.Facts.State.ValueKB)}
-	raw := wire.Marshal(h)
-	tooBig := float64(len(raw)) > c.cfg.Facts.State.ValueKB*1024*0.75
-	if err != nil || tooBig {
+	limits := c.cfg.Facts.State.Tightest()
+	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: perChunk(limits.ValueKB)}
+	tooBig := float64(len(wire.Marshal(h))+headerRoom) > limits.ValueKB*1024
+	switch {
+	case err != nil || tooBig:
 		c.lookup(id, func(k known) { c.tell(r, k, http.StatusBadRequest) })
-		return
-	}
-	if len(c.types) == 0 {
+	case len(c.types) == 0:
 		c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
-		return
-	}
-	if !c.canRun(&job) {
+	case !c.canRun(&job):
 		c.lookup(id, func(k known) { c.tell(r, k, http.StatusUnprocessableEntity) })
-		return
-	}
-	if !c.control.loaded || c.control.unreached {
+	case !c.control.loaded || c.control.unreached:
 		c.later(r.Req, "state service not reached")
-		return
+	case len(job.Needs) == 0:
+		c.accept(r, h, nil)
+	case !c.upgraded():
+		c.later(r.Req, "an earlier version may still run")
+	default:
+		c.needs(r, &job, func(cancelled bool, conds []wire.Cond) {
+			h.Cancelled = cancelled
+			c.accept(r, h, conds)
+		})
 	}
+}
+
+// accept creates a job's record, on conditions that what it needs is as was found.
+func (c *Core) accept(r UserRequest, h headerRecord, conds []wire.Cond) {
+	id := h.Job.ID
 	if !c.writes.AllowN(c.now, 1) {
-		c.turnAway(r, &job)
+		c.turnAway(r, &h.Job)
 		return
 	}
+	raw := wire.Marshal(h)
 	txn := wire.Txn{
-		If:   []wire.Cond{{Key: headerKey(id)}, {Key: finalKey(id)}},
+		If:   append([]wire.Cond{{Key: headerKey(id)}, {Key: finalKey(id)}}, conds...),
 		Then: []wire.Change{{Put: headerKey(id), Value: raw}},
 	}
 	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
 		switch reply.Status {
 		case http.StatusOK:
 			c.written(wire.Event{Put: headerKey(id), Value: raw, Version: reply.Txn.Revision})
-			c.answer(r.Req, http.StatusCreated, wire.JobState{ID: id, State: wire.StateQueued})
-		case http.StatusConflict:
+			state := wire.JobState{ID: id, State: wire.StateQueued}
+			if h.Cancelled {
+				state.State = wire.StateCancelled
+			}
+			c.answer(r.Req, http.StatusCreated, state)
+		case http.StatusConflict: // known by now, or what it needs has changed
 			c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
 		case http.StatusTooManyRequests:
-			c.turnAway(r, &job)
+			c.turnAway(r, &h.Job)
 		default:
 			c.later(r.Req, "state service not reached")
 		}
@@ -277,7 +290,7 @@
 func (c *Core) abort(r UserRequest, tries int) {
 	c.lookup(r.Job, func(k known) {
 		h := c.control.headers[r.Job]
-		if k != knownActive || h.Cancelled {
+		if k != knownActive || c.withdrawn(r.Job) {
 			c.tell(r, k, http.StatusNotFound)
 			return
 		}
@@ -285,9 +298,7 @@
 			c.later(r.Req, "too many changes")
 			return
 		}
-		cancelled := *h
-		cancelled.Cancelled = true
-		raw := wire.Marshal(cancelled)
+		raw := cancelledHeader(*h, c.cfg.Facts.State.Tightest().ValueKB)
 		txn := wire.Txn{
 			If:   []wire.Cond{{Key: headerKey(r.Job), Version: c.control.versions[headerKey(r.Job)]}},
 			Then: []wire.Change{{Put: headerKey(r.Job), Value: raw}},
--- a/internal/sim/meetings.go
+++ b/internal/sim/meetings.go
@@ -21,6 +21,15 @@
 		w.watchWaiting(5 * time.Second)
 	})
 	w.after(5*time.Second, u.strangers)
+	if w.shape.Chains {
+		for at := 3 * time.Second; at < troubles-20*time.Second; at += w.between(2*time.Second, 14*time.Second) {
+			w.after(at, u.pipeline)
+		}
+		w.after(w.between(20*time.Second, troubles), func() {
+			w.met["the state service lowers its limits"]++
+			w.store.lower()
+		})
+	}
 	for at := 20 * time.Second; at < troubles; at += w.between(4*time.Second, 16*time.Second) {
 		w.after(at, w.meeting(troubles))
 		w.after(at+w.between(0, 3*time.Second), w.trouble(troubles))
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -40,6 +40,7 @@
 	Tasks       int           // the most that an array has
 	Arrive      time.Duration // between submissions, in the mean
 	GPUs        bool          // are what the teams share; reports come seldom and little can be written
+	Chains      bool          // users submit pipelines, and the state service lowers its limits
 }
 
 // The shapes that days are played in: as the first deployments are, as they have
@@ -50,6 +51,7 @@
 	Grown = Shape{Controllers: 5, Machines: 240, Scale: 20, Tasks: 120, Arrive: 3 * time.Second}
 	Fleet = Shape{Controllers: 5, Machines: 1900, Scale: 400, Tasks: 300, Arrive: 600 * time.Millisecond}
 	Hall  = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, Arrive: 4 * time.Second, GPUs: true}
+	Chain = Shape{Controllers: 3, Machines: 24, Scale: 4, Tasks: 20, Arrive: 6 * time.Second, Chains: true}
 	Halls = Shape{Controllers: 5, Machines: 2600, Scale: 80, Tasks: 150, Arrive: 700 * time.Millisecond, GPUs: true}
 )
 
@@ -163,6 +165,11 @@
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 60, 8, 16
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
 	f.Resources.MemoryMB, f.Resources.MaxConnections = 125, 1500
+	if s.Chains {
+		next := config.Limits{ValueKB: 1.2, TxnOps: 5, WriteRPS: 42}
+		f.State.Next.ValueKB, f.State.Next.TxnOps, f.State.Next.WriteRPS = &next.ValueKB, &next.TxnOps, &next.WriteRPS
+		f.Objectives = append(f.Objectives, config.Objective{Kind: "deadline", Class: "last", Times: 1})
+	}
 	if s.GPUs { // one team has GPUs alone, one cores alone, one both
 		f.Teams = []config.Team{{Name: "red", GPUs: 4 * s.Scale, GPUsMax: 8 * s.Scale},
 			{Name: "blue", CPUs: 12 * s.Scale, CPUsMax: 48 * s.Scale, GPUs: 2 * s.Scale, GPUsMax: 9 * s.Scale},
--- a/wire/submit.go
+++ b/wire/submit.go
@@ -52,6 +52,7 @@
 	CheckpointS *float64 `cbor:"mark_s"`
 	SaveS       *float64 `cbor:"stash_s"`
 	DeadlineS   *float64 `cbor:"due_s"`
+	Needs       []string `cbor:"waits_on"`
 }
 
 // ParseJob decodes and checks a submission. Where it fails, the id is still
@@ -95,6 +96,12 @@
 	if s.DeadlineS != nil {
 		p.amount("due_s", s.DeadlineS)
 	}
+	for _, id := range s.Needs {
+		p.require("waits_on", ValidID(id))
+		if !slices.Contains(job.Needs, id) { // a job named twice is needed once
+			job.Needs = append(job.Needs, id)
+		}
+	}
 	return job, id, p.err
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -86,6 +86,7 @@
 	CheckpointS float64  `cbor:"mark_s"`
 	SaveS       float64  `cbor:"stash_s"`
 	DeadlineS   *float64 `cbor:"due_s,omitempty"`
+	Needs       []string `cbor:"waits_on,omitempty"` // jobs that must be done before any task of this one starts
 }
 
 // JobState answers a user about a job.
