What production wrote is continued, and read back by it: fixtures and tests

Records that it stored too large are divided once no earlier version can come back, or when one is refused for its size; a refused copy in doubt is settled by reading instead of being sent again for ever. Machines are rented for jobs that are about to be released.

--- a/controller/chains.go
+++ b/controller/chains.go
@@ -7,6 +7,7 @@
 
 	"pumicefront/config"
 	"pumicefront/reduction"
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
@@ -147,6 +148,40 @@
 	}
 }
 
+// soonReady lists what will be wanted by jobs that are about to be released: all that
+// they need runs, and should end before a machine that is rented now is up.
+func (l *lead) soonReady() []*scheduler.Demand {
+	var ds []*scheduler.Demand
+	for _, j := range l.order {
+		if j.cancelled || !l.held(j) || !l.needsEndSoon(j) {
+			continue
+		}
+		d := l.c.demandOf(&j.spec)
+		d.Rank, d.Within, d.Tasks = j.terms.Rank, true, make([]int, d.Total)
+		ds = append(ds, d)
+	}
+	return ds
+}
+
+func (l *lead) needsEndSoon(j *job) bool {
+	boot := l.soonestBoot(&j.spec)
+	for _, p := range j.spec.Needs {
+		needed := l.jobs[p]
+		switch {
+		case needed == nil && l.c.chains.Status(p) == reduction.Completed:
+			continue
+		case needed == nil || l.held(needed) || needed.state.Count(reduction.Pending) > 0:
+			return false
+		}
+		for _, a := range needed.attempts {
+			if !a.running || l.remaining(a) > boot {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // deadline is by when a job should end: its own time, or that of the last job of its
 // chain less what is estimated for those between.
 type deadline struct {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -916,3 +916,126 @@
 		t.Fatalf("dirty %v, write %+v: its end is never written", j.dirty, w)
 	}
 }
+
+// chain returns a leader with two jobs, of which the second needs the first.
+func chain(t *testing.T) (c *Core, l *lead, first, second *job) {
+	t.Helper()
+	c, l, _ = leading(t)
+	due := 100.0
+	specs := []wire.Job{
+		{ID: "req-000010", Kind: wire.KindArray, Class: "a", Priority: "best_effort", Tasks: 1, CPUs: 1, EstimateS: 10},
+		{ID: "req-000011", Kind: wire.KindArray, Class: "b", Priority: "high", Tasks: 1, CPUs: 1, EstimateS: 20, DeadlineS: &due, Needs: []string{"req-000010"}},
+	}
+	for i, spec := range specs {
+		spec := spec
+		c.control.versions[headerKey(spec.ID)] = uint64(i + 1)
+		c.headerChanged(spec.ID, &headerRecord{Job: spec, AcceptedMS: c.now.UnixMilli(), PerChunk: 10})
+	}
+	return c, l, l.jobs["req-000010"], l.jobs["req-000011"]
+}
+
+// What a job needs has its priority and, less the estimate of what comes after, its
+// deadline. Its own times count from the end of what it needs.
+func TestPriorityAndDeadlinePassBack(t *testing.T) {
+	c, l, first, second := chain(t)
+	if first.terms.Rank != second.terms.Rank || first.due.within(1) != 80 || !l.held(second) {
+		t.Fatalf("rank %d, due in %v, held %v", first.terms.Rank, first.due, l.held(second))
+	}
+	if ds := l.demands(); len(ds) != 2 || ds[1].Job != "req-000010" || ds[1].Rank != 1 {
+		t.Fatalf("demands %+v", ds)
+	}
+	c.now = c.now.Add(30 * time.Second)
+	c.over(first.id, finalRecord{Tasks: 1, EndedMS: c.now.UnixMilli()})
+	c.headerChanged(first.id, nil)
+	c.now = c.now.Add(5 * time.Second)
+	if l.held(second) || c.now.Sub(second.ready) != 5*time.Second {
+		t.Errorf("held %v, ready since %v", l.held(second), second.ready)
+	}
+}
+
+// A leader that finds neither the header nor the end of a needed job asks for its final
+// record and releases nothing before it has it.
+func TestUnknownEndHoldsWhatNeedsIt(t *testing.T) {
+	c, l, _, second := chain(t)
+	c.out = nil
+	c.control.loaded = true
+	c.headerChanged("req-000010", nil)
+	if !l.held(second) || len(c.out) == 0 {
+		t.Fatalf("held %v, asks %v", l.held(second), c.out)
+	}
+}
+
+// The end of a cancelled job is not written while an unfinished one needs it: every
+// controller derives from its header that the other is called off.
+func TestCancelledJobStaysWhileItIsNeeded(t *testing.T) {
+	c, l, first, second := chain(t)
+	c.headerChanged(first.id, &headerRecord{Job: first.spec, Cancelled: true, PerChunk: 10})
+	if !second.cancelled || c.jobState(second.id).State != wire.StateCancelled {
+		t.Fatalf("the job that needs it: %v", c.jobState(second.id))
+	}
+	if w := l.compose(first); w != nil {
+		t.Fatalf("its end is written: %+v", w.txn)
+	}
+	w := l.compose(second)
+	if w == nil || w.final == nil || !w.final.Cancelled {
+		t.Fatalf("the end of the job that needs it: %+v", w)
+	}
+	c.headerChanged(second.id, nil)
+	if w := l.compose(first); !first.dirty || w == nil || w.final == nil {
+		t.Fatalf("dirty %v, its end: %+v", first.dirty, w)
+	}
+}
+
+// A submission's predecessors are looked up afresh: one that was never accepted is 422,
+// one that can't be known now 503, and the acceptance holds only for what was found.
+func TestSubmissionsThatNeedOthers(t *testing.T) {
+	c, _, first, _ := chain(t)
+	members(c, thisVersion)
+	c.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 8, Zones: []string{"a"}}})
+	c.quotas["red"] = quotaOf(config.Team{Name: "red", CPUs: 8})
+	c.control.loaded = true
+	submit := func(needs ...string) (answer *Answer, txn *StateCall) {
+		spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i", Needs: needs}
+		c.out = nil
+		c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
+		for range 4 { // reads are answered with nothing new, and no final record
+			for _, o := range c.out {
+				switch o := o.(type) {
+				case Answer:
+					return &o, nil
+				case StateCall:
+					switch o.Op {
+					case OpTxn:
+						return nil, &o
+					case OpWatch:
+						resume(c.stateCalls, o.ID, StateReply{Status: http.StatusOK, Watch: wire.Watch{Revision: c.control.revision}})
+					case OpGet:
+						resume(c.stateCalls, o.ID, StateReply{Status: http.StatusNotFound})
+					}
+				}
+			}
+		}
+		return nil, nil
+	}
+	if a, _ := submit("req-000077"); a == nil || a.Status != http.StatusUnprocessableEntity {
+		t.Errorf("needs an unknown job: %+v", a)
+	}
+	if a, _ := submit("req-000099"); a == nil || a.Status != http.StatusUnprocessableEntity {
+		t.Errorf("needs itself: %+v", a)
+	}
+	if _, txn := submit(first.id, first.id); txn == nil || len(txn.Txn.If) != 3 || txn.Txn.If[2] != (wire.Cond{Key: headerKey(first.id), Version: 1}) {
+		t.Errorf("needs an unfinished job: %+v", txn)
+	}
+	c.headerChanged(first.id, &headerRecord{Job: first.spec, Cancelled: true, PerChunk: 10})
+	if _, txn := submit(first.id); txn == nil || !decode[headerRecord](txn.Txn.Then[0].Value).Cancelled {
+		t.Errorf("needs a cancelled job: %+v", txn)
+	}
+	c.control.members["n2"] = 0
+	if a, _ := submit(first.id); a == nil || a.Status != http.StatusServiceUnavailable || a.RetryAfter == 0 {
+		t.Errorf("while an earlier version may lead: %+v", a)
+	}
+	c.control.unreached = true
+	if a, _ := submit(first.id); a == nil || a.Status != http.StatusServiceUnavailable {
+		t.Errorf("without the state service: %+v", a)
+	}
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -69,7 +69,8 @@
 
 	announcing bool // see announce
 	refusals   int  // see paced
-	tight      bool // the state service has its coming limits
+	tight      bool // the state service takes changes at its coming rate
+	smaller    bool // it has refused a record for its size
 	claiming   bool
 	claimAfter time.Time
 	endAfter   time.Time
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -240,7 +240,7 @@
 // leave room for what comes meanwhile.
 func (l *lead) backlog() []*scheduler.Demand {
 	used := l.teamUse()
-	ds := append(l.demands(), l.atDoor()...)
+	ds := append(append(l.demands(), l.atDoor()...), l.soonReady()...)
 	scheduler.Order(ds)
 	ending := l.endingSoon() - l.comingSoon()
 	for _, d := range ds {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -389,7 +389,7 @@
 
 // compose makes the write that is due for a job; nil: nothing is.
 func (l *lead) compose(j *job) *write {
-	if !j.small && j.per > l.perChunk() && l.c.upgraded() {
+	if !j.small && j.per > l.perChunk() && (l.c.upgraded() || l.c.smaller) {
 		l.shrink(j)
 	}
 	w := &write{id: l.c.rng.Uint64() >> 1} // no other leader's write may look like ours
@@ -499,6 +499,12 @@
 			l.confirm(j, r.Txn.Revision)
 		case r.Status == http.StatusConflict:
 			l.reread(j)
+		case r.Status == http.StatusBadRequest:
+			// Too large: the coming limits hold, so no earlier version can come back, and
+			// no copy of it is carried out any more. One that was may be on record.
+			c.log(slog.LevelInfo, "write refused for its size", "job", j.id, "error", r.Txn.Error)
+			c.smaller = true
+			l.reread(j)
 		case r.Status == 0 || w.doubt:
 			w.doubt = true
 			c.after(retryPause, func() { l.resend(j, w) })
@@ -506,9 +512,6 @@
 			if r.Status == http.StatusTooManyRequests {
 				l.pauseWrites(retryPause / 4)
 			}
-			if r.Status == http.StatusBadRequest {
-				c.log(slog.LevelError, "write refused", "job", j.id, "error", r.Txn.Error)
-			}
 			l.discard(j)
 		}
 	})
--- /dev/null
+++ b/controller/versions_test.go
@@ -0,0 +1,246 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/dynamicpb"
+
+	"pumicefront/config"
+	"pumicefront/mesh"
+	"pumicefront/reduction"
+	"pumicefront/wire"
+)
+
+// production is what the version before job chains has written. It was made by
+// testdata/fixture.go.txt, as a test in package controller of the commit that
+// deploy/service.toml names.
+type production struct{ Records, Messages map[string][]byte }
+
+func written(t *testing.T) production {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p production
+	if err := json.Unmarshal(raw, &p); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// continuing is a leader that takes over what production has written, with coming limits
+// that are far below what it was written by.
+func continuing(t *testing.T) (*Core, *lead, production) {
+	t.Helper()
+	c, _, _ := leading(t)
+	p := written(t)
+	st := &c.cfg.Facts.State
+	kb, ops := 2.0, 5
+	st.Limits = config.Limits{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 16}
+	st.Next.ValueKB, st.Next.TxnOps = &kb, &ops
+	version := uint64(10)
+	var tasks, hires []wire.Item
+	for key, raw := range p.Records {
+		version++
+		switch {
+		case strings.HasPrefix(key, taskPrefix):
+			tasks = append(tasks, wire.Item{Key: key, Value: raw, Version: version})
+		case strings.HasPrefix(key, hirePrefix):
+			hires = append(hires, wire.Item{Key: key, Value: raw, Version: version})
+		case strings.HasPrefix(key, controlPrefix) && key != leaderKey && key != tokenKey:
+			c.applyControl(wire.Event{Put: key, Value: raw, Version: version})
+		}
+	}
+	c.lead = nil
+	c.becomeLeader(c.now, 2, 8, version+1)
+	c.lead.rebuild(tasks, hires)
+	return c, c.lead, p
+}
+
+func members(c *Core, version int) {
+	for _, m := range c.members() {
+		c.control.members[m] = version
+	}
+}
+
+func TestContinuesFromProduction(t *testing.T) {
+	c, l, p := continuing(t)
+	j := l.jobs["req-000001"]
+	if j == nil || j.per != 204 || len(j.attempts) != 185 || j.state.Count(reduction.Completed) != 11 || j.accepted.UnixMilli() != 1893456000000 {
+		t.Fatalf("%+v", j)
+	}
+	if off := l.jobs["req-000002"]; off == nil || !off.cancelled || !off.dirty {
+		t.Errorf("the cancelled job: %+v", off)
+	}
+	if h := l.fleet.hires["r-6-1"]; h == nil || !h.answered || len(h.machines) != 2 || l.machines["i-000031"] == nil {
+		t.Errorf("the rental: %+v", h)
+	}
+	if len(c.types) != 1 {
+		t.Errorf("%d machine types", len(c.types))
+	}
+	if f := decode[finalRecord](p.Records[finalKey("req-000004")]); f == nil || !f.Cancelled || f.EndedMS != 0 {
+		t.Errorf("a final record: %+v", f)
+	}
+}
+
+// What production has stored in records larger than may be written soon stays in its form
+// while production may come back, and is written in smaller form after that.
+func TestLargeRecordsAreDivided(t *testing.T) {
+	c, l, _ := continuing(t)
+	j := l.jobs["req-000001"]
+	end := func(task int) {
+		l.gone(j.attempts[task], reduction.Succeeded, "done")
+		j.pressing = true
+	}
+	end(150)
+	members(c, thisVersion)
+	c.control.members["n2"] = 0 // not upgraded yet
+	w := l.compose(j)
+	if j.small || len(w.txn.Then) != 1 || w.txn.Then[0].Put != chunkKey(j.id, 0) {
+		t.Fatalf("small %v, writes %+v", j.small, w.txn.Then)
+	}
+	j.undo(w)
+	members(c, thisVersion)
+	var changes []wire.Change
+	for w = l.compose(j); w != nil; w = l.compose(j) {
+		if len(w.txn.Then) > 5 {
+			t.Errorf("%d changes", len(w.txn.Then))
+		}
+		changes = append(changes, w.txn.Then...)
+		j.write = w
+		l.confirm(j, uint64(50+len(changes)))
+	}
+	if !j.small || len(changes) == 0 {
+		t.Fatalf("small %v, writes %+v", j.small, changes)
+	}
+	for _, change := range changes {
+		if len(change.Value) > 2048 || !strings.HasPrefix(change.Put, taskPrefix+j.id+"/s") {
+			t.Errorf("writes %d bytes to %s", len(change.Value), change.Put)
+		}
+	}
+	// The next leader reads both, and what was written last stands.
+	items := map[string][]byte{}
+	for key, raw := range written(t).Records {
+		if strings.HasPrefix(key, taskPrefix) {
+			items[key] = raw
+		}
+	}
+	for _, change := range changes {
+		items[change.Put] = change.Value
+	}
+	var tasks []wire.Item
+	for _, key := range slices.Sorted(maps.Keys(items)) {
+		tasks = append(tasks, wire.Item{Key: key, Value: items[key], Version: 99})
+	}
+	c.lead = nil
+	c.becomeLeader(c.now, 3, 9, 100)
+	c.lead.rebuild(tasks, nil)
+	again := c.lead.jobs[j.id]
+	if again.state.Status(150) != reduction.Completed || again.attempts[150] != nil || len(again.attempts) != 184 {
+		t.Errorf("task 150 is %v, %d attempts", again.state.Status(150), len(again.attempts))
+	}
+	for task, a := range again.attempts {
+		if next := again.chunks[task/again.per].next; a.number > next {
+			t.Fatalf("task %d has attempt %d, the next ones count from %d", task, a.number, next)
+		}
+	}
+	if n := len(again.larger); n != 2 {
+		t.Errorf("%d larger records to remove in the end", n)
+	}
+}
+
+// The records of production as it reads them. It ignores what it doesn't know.
+type (
+	oldHeader struct {
+		Job        oldJob `cbor:"j"`
+		Cancelled  bool   `cbor:"x,omitempty"`
+		AcceptedMS int64  `cbor:"t"`
+		PerChunk   int    `cbor:"per"`
+	}
+	oldJob struct {
+		ID    string `cbor:"uid"`
+		Class string `cbor:"lane"`
+		Team  string `cbor:"crew"`
+		Tasks int    `cbor:"pieces"`
+	}
+	oldFinal struct {
+		Cancelled bool `cbor:"x,omitempty"`
+		Tasks     int  `cbor:"n"`
+	}
+)
+
+func TestProductionReadsWhatWeWrite(t *testing.T) {
+	job := wire.Job{ID: "req-000009", Class: "batch", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 30, CPUs: 1,
+		Image: "img-0", Needs: []string{"req-000001"}}
+	h := decode[oldHeader](wire.Marshal(headerRecord{Job: job, AcceptedMS: 5, PerChunk: 25}))
+	if h == nil || h.Job != (oldJob{"req-000009", "batch", "red", 30}) || h.PerChunk != 25 || h.AcceptedMS != 5 || h.Cancelled {
+		t.Errorf("a header: %+v", h)
+	}
+	big := job
+	big.Types = strings.Split(strings.Repeat("some-machine-type ", 200), " ")
+	raw := cancelledHeader(headerRecord{Job: big, PerChunk: 204}, 2)
+	if h := decode[oldHeader](raw); h == nil || !h.Cancelled || h.Job.Tasks != 30 || h.Job.Team != "red" || len(raw) > 2048 {
+		t.Errorf("a cancelled header of %d bytes: %+v", len(raw), h)
+	}
+	if f := decode[oldFinal](wire.Marshal(finalRecord{Tasks: 3, EndedMS: 7})); f == nil || f.Tasks != 3 || f.Cancelled {
+		t.Errorf("a final record: %+v", f)
+	}
+	for _, key := range []string{versionPrefix + "n1", smallKey("req-000009", 2)} {
+		if strings.HasPrefix(key, headerPrefix) || key == leaderKey || key == tokenKey || key == typesKey {
+			t.Errorf("production takes %s for something else", key)
+		}
+	}
+}
+
+// Messages of the mesh both ways: ours read with the description that production has of
+// them, and its messages by us.
+func TestMeshOfTwoVersions(t *testing.T) {
+	p := written(t)
+	var described descriptorpb.FileDescriptorProto
+	if err := proto.Unmarshal(p.Messages["described"], &described); err != nil {
+		t.Fatal(err)
+	}
+	file, err := protodesc.NewFile(&described, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := file.Messages().ByName("Envelope")
+	for name, raw := range p.Messages {
+		if name == "described" {
+			continue
+		}
+		theirs := dynamicpb.NewMessage(old)
+		ours := &mesh.Envelope{}
+		if err := proto.Unmarshal(raw, theirs); err != nil {
+			t.Fatal(name, err)
+		}
+		if err := proto.Unmarshal(raw, ours); err != nil || ours.Body == nil {
+			t.Fatalf("%s: %v, body %v", name, err, ours.Body)
+		}
+		back, err := proto.Marshal(ours)
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		again := dynamicpb.NewMessage(old)
+		if err := proto.Unmarshal(back, again); err != nil || !proto.Equal(theirs, again) {
+			t.Errorf("%s: production reads %v where it wrote %v (%v)", name, again, theirs, err)
+		}
+		again.Range(func(fd protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+			if fd.Message() != nil && len(v.Message().GetUnknown()) > 0 {
+				t.Errorf("%s: fields that production doesn't know: %s", name, fmt.Sprint(v))
+			}
+			return true
+		})
+	}
+}
