--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -1039,3 +1039,41 @@
 		t.Errorf("without the state service: %+v", a)
 	}
 }
+
+// A header with a long list of needed jobs fits into the smaller value that is to come,
+// or is refused for good.
+func TestLongListsOfNeededJobs(t *testing.T) {
+	c, _, _, _ := chain(t)
+	kb, ops := 2.0, 5
+	c.cfg.Facts.State.Next.ValueKB, c.cfg.Facts.State.Next.TxnOps = &kb, &ops
+	members(c, thisVersion)
+	c.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 8, Zones: []string{"a"}}})
+	c.quotas["red"] = quotaOf(config.Team{Name: "red", CPUs: 8})
+	c.control.loaded = true
+	spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i"}
+	refused := 0
+	for refused == 0 && len(spec.Needs) < 1000 {
+		id := fmt.Sprintf("req-%06d", 1000+len(spec.Needs))
+		c.over(id, finalRecord{Tasks: 1})
+		spec.Needs = append(spec.Needs, id)
+		c.out = nil
+		c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
+		for _, o := range c.out {
+			switch o := o.(type) {
+			case Answer:
+				t.Fatalf("%d needed jobs: %+v", len(spec.Needs), o)
+			case StateCall:
+				if o.Op == OpWatch { // asked whether the job is known: the header is too large
+					refused = len(spec.Needs)
+				} else if n := len(o.Txn.Then[0].Value); n > 2048 {
+					t.Fatalf("%d needed jobs: a value of %d bytes", len(spec.Needs), n)
+				}
+			}
+		}
+		c.writes = rate.NewLimiter(rate.Inf, 0)
+	}
+	if refused < 100 {
+		t.Errorf("%d needed jobs are too many", refused)
+	}
+	t.Logf("%d needed jobs fit", refused-1)
+}
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -163,11 +163,13 @@
 	}
 	// The answer renews the lease: this is counted before the answer goes out.
 	m.answered, m.leaseOut = c.now, false
-	cs := l.unwanted(&rep)
+	body := wire.ReportAnswer{Token: l.token}
 	if m.up {
-		cs = l.commands(m)
+		body.Commands = l.commands(m)
+	} else {
+		body.Commands = l.unwanted(&rep)
 	}
-	c.answer(r.Req, http.StatusOK, wire.ReportAnswer{Token: l.token, Commands: cs})
+	c.answer(r.Req, http.StatusOK, body)
 }
 
 // unwanted lists the stops of a machine whose attempts are not known yet: a leader that
