--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -10,11 +10,7 @@
 // Day plays a day with troubles drawn from the seed, then a calm in which
 // everything accepted must come to its end.
 func Day(w *World, troubles, calm time.Duration) {
-	u := w.users
-	u.stop = troubles
-	w.after(time.Second, func() { u.arrive(w.shape.Arrive) })
-	w.after(troubles, func() { w.calmFrom = w.now })
-	w.after(5*time.Second, u.strangers)
+	w.begin(troubles)
 	for at := 25 * time.Second; at < troubles; at += w.between(4*time.Second, 20*time.Second) {
 		trouble := w.trouble(troubles)
 		w.after(at, trouble)
@@ -25,6 +21,15 @@
 	}
 }
 
+// begin has users come until the troubles are over.
+func (w *World) begin(troubles time.Duration) {
+	u := w.users
+	u.stop = troubles
+	w.after(time.Second, func() { u.arrive(w.shape.Arrive) })
+	w.after(troubles, func() { w.calmFrom = w.now })
+	w.after(5*time.Second, u.strangers)
+}
+
 // trouble draws one trouble; everything is whole again when troubles end.
 func (w *World) trouble(end time.Duration) func() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
--- a/internal/sim/meetings.go
+++ b/internal/sim/meetings.go
@@ -13,17 +13,11 @@
 // lasts: most rules that were ever broken broke there. One of each pair is of those
 // that change what the world does for a while, the other any trouble.
 func MeetingDay(w *World, troubles, calm time.Duration) {
-	u := w.users
-	u.stop = troubles
-	w.after(time.Second, func() { u.arrive(w.shape.Arrive) })
-	w.after(troubles, func() {
-		w.calmFrom = w.now
-		w.watchWaiting(5 * time.Second)
-	})
-	w.after(5*time.Second, u.strangers)
+	w.begin(troubles)
+	w.after(troubles, func() { w.watchWaiting(5 * time.Second) })
 	if w.shape.Chains {
 		for at := 3 * time.Second; at < troubles-20*time.Second; at += w.between(2*time.Second, 14*time.Second) {
-			w.after(at, u.pipeline)
+			w.after(at, w.users.pipeline)
 		}
 		w.after(w.between(20*time.Second, troubles), func() {
 			w.met["the state service lowers its limits"]++
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// refusedLeader has the state service refuse the leader alone.
+func refusedLeader(w *World) *node {
+	old := w.leading()
+	old.refused = true
+	w.Run(w.now + 100*time.Millisecond)
+	return old
+}
+
 // another is a node that does not lead.
 func another(w *World, leader *node) *node { return w.nodes[(leader.i+1)%len(w.nodes)] }
 
@@ -107,9 +115,7 @@
 			w := gapWorld(t, name, 21)
 			last := renewals(w)
 			for i := range 2 {
-				old := w.leading()
-				old.refused = true
-				w.Run(w.now + 100*time.Millisecond)
+				old := refusedLeader(w)
 				job := []string{array, second}[i]
 				callOffAt(t, w, another(w, old), job)
 				told := w.now
@@ -145,9 +151,7 @@
 			t.Parallel()
 			w := gapWorld(t, name, 22)
 			last := renewals(w)
-			old := w.leading()
-			old.refused = true
-			w.Run(w.now + 100*time.Millisecond)
+			old := refusedLeader(w)
 			for _, n := range w.nodes { // nor do those know that watch
 				n.refused = n != another(w, old)
 			}
