--- a/config/config_test.go
+++ b/config/config_test.go
@@ -86,3 +86,28 @@
 		t.Error(err)
 	}
 }
+
+// The coming limits of the state service may be missing or name only some; what is
+// unusable is named.
+func TestNextLimits(t *testing.T) {
+	load := func(next string) (*Platform, error) {
+		return LoadPlatform(write(t, "s.toml", strings.Replace(good, "[facts.cloud]", next+"\n[facts.cloud]", 1)))
+	}
+	p, err := load("")
+	if err != nil || p.Facts.State.Coming() != p.Facts.State.Limits || p.Facts.State.Tightest() != p.Facts.State.Limits {
+		t.Errorf("without any: %+v %v", p, err)
+	}
+	p, err = load("[facts.state.next]\nvalue_kb = 2.0\nwrite_rps = 70.0\nunknown = 1")
+	if want := (Limits{100, 70, 2, 16}); err != nil || p.Facts.State.Coming() != want {
+		t.Errorf("coming %+v, want %+v: %v", p.Facts.State.Coming(), want, err)
+	}
+	if want := (Limits{100, 50, 2, 16}); p.Facts.State.Tightest() != want {
+		t.Errorf("tightest %+v, want %+v", p.Facts.State.Tightest(), want)
+	}
+	for _, bad := range []string{"value_kb = 0", "value_kb = \"much\"", "txn_ops = -1", "txn_ops = 2.5", "write_rps = 0.0", "rps = nan"} {
+		name, _, _ := strings.Cut(bad, " ")
+		if _, err := load("[facts.state.next]\n" + bad); err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -60,3 +60,26 @@
 		}
 	}
 }
+
+// A submission may name the jobs that it needs; what is not a list of ids is refused.
+func TestParseJobNeeds(t *testing.T) {
+	with := func(v any) map[string]any {
+		m := maps.Clone(sample())
+		m["waits_on"] = v
+		return m
+	}
+	for _, none := range []any{nil, []string{}} {
+		if job, _, err := ParseJob(Marshal(with(none))); err != nil || len(job.Needs) != 0 {
+			t.Errorf("%v: %+v %v", none, job.Needs, err)
+		}
+	}
+	job, _, err := ParseJob(Marshal(with([]string{"req-2", "req-1", "req-2"})))
+	if err != nil || len(job.Needs) != 2 || job.Needs[0] != "req-2" || job.Needs[1] != "req-1" {
+		t.Errorf("%+v %v", job.Needs, err)
+	}
+	for _, bad := range []any{"req-1", 7, []any{1}, []string{"job-1"}, []string{"req-1", ""}, []any{nil}, map[string]any{"req-1": 1}} {
+		if _, id, err := ParseJob(Marshal(with(bad))); err == nil || id != "req-000412" {
+			t.Errorf("%v is accepted, id %q", bad, id)
+		}
+	}
+}
