--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -40,6 +40,7 @@
 	Tasks       int           // the most that an array has
 	Arrive      time.Duration // between submissions, in the mean
 	GPUs        bool          // are what the teams share; reports come seldom and little can be written
+	Chains      bool          // users submit pipelines, and the state service lowers its limits
 }
 
 // The shapes that days are played in: as the first deployments are, as they have
@@ -50,6 +51,7 @@
 	Grown = Shape{Controllers: 5, Machines: 240, Scale: 20, Tasks: 120, Arrive: 3 * time.Second}
 	Fleet = Shape{Controllers: 5, Machines: 1900, Scale: 400, Tasks: 300, Arrive: 600 * time.Millisecond}
 	Hall  = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, Arrive: 4 * time.Second, GPUs: true}
+	Chain = Shape{Controllers: 3, Machines: 24, Scale: 4, Tasks: 20, Arrive: 6 * time.Second, Chains: true}
 	Halls = Shape{Controllers: 5, Machines: 2600, Scale: 80, Tasks: 150, Arrive: 700 * time.Millisecond, GPUs: true}
 )
 
@@ -61,9 +63,12 @@
 
 	shape    Shape
 	faults   faults
-	still    bool          // nothing is lost, copied or late by chance
-	topToken uint64        // the highest that anything was sent with
-	kept     []func()      // copies of reports, for the next leader
+	still    bool     // nothing is lost, copied or late by chance
+	topToken uint64   // the highest that anything was sent with
+	kept     []func() // copies of reports, for the next leader
+	met      map[string]int
+	led      *node // who acted for all last, and since when
+	ledSince time.Duration
 	calmFrom time.Duration // when all troubles were over; 0: not yet
 	rng      *rand.Rand
 	start    time.Time
@@ -135,7 +140,7 @@
 	w := &World{
 		shape: shape,
 		rng:   rand.New(rand.NewPCG(seed, 77)), start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
-		op: config.DefaultOperator(), Log: func(string, ...any) {},
+		op: config.DefaultOperator(), Log: func(string, ...any) {}, met: map[string]int{},
 	}
 	w.cfg = settings(shape)
 	w.store = newStore(w)
@@ -160,6 +165,11 @@
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 60, 8, 16
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
 	f.Resources.MemoryMB, f.Resources.MaxConnections = 125, 1500
+	if s.Chains {
+		next := config.Limits{ValueKB: 1.2, TxnOps: 5, WriteRPS: 42}
+		f.State.Next.ValueKB, f.State.Next.TxnOps, f.State.Next.WriteRPS = &next.ValueKB, &next.TxnOps, &next.WriteRPS
+		f.Objectives = append(f.Objectives, config.Objective{Kind: "deadline", Class: "last", Times: 1})
+	}
 	if s.GPUs { // one team has GPUs alone, one cores alone, one both
 		f.Teams = []config.Team{{Name: "red", GPUs: 4 * s.Scale, GPUsMax: 8 * s.Scale},
 			{Name: "blue", CPUs: 12 * s.Scale, CPUsMax: 48 * s.Scale, GPUs: 2 * s.Scale, GPUsMax: 9 * s.Scale},
@@ -272,6 +282,9 @@
 		return
 	}
 	n.w.Log("%v crash %s", n.w.now, n.name)
+	if n.leads() {
+		n.w.leaderEnds(down)
+	}
 	n.core = nil
 	n.freezing, n.frozen, n.held = 0, false, nil
 	for _, again := range n.sent {
@@ -435,6 +448,7 @@
 		return // until the call is given up
 	}
 	late, lost := w.latency()+w.between(0, w.faults.slowState), w.mishap(0.004)
+	sent := w.now
 	if call.Op == controller.OpTxn {
 		if w.mishap(0.004) || w.chance(w.faults.lateWrites) {
 			late, lost = w.between(time.Second, 20*time.Second), true
@@ -443,6 +457,9 @@
 	}
 	w.after(late, func() {
 		w.store.handle(n, call, func(r controller.StateReply) {
+			if call.Op == controller.OpTxn && lost {
+				w.carriedOut(sent, r)
+			}
 			if !lost && !n.cutOff {
 				w.after(w.latency(), func() { reply(r) })
 			}
@@ -469,6 +486,7 @@
 		return func() {
 			h.reach(func() {
 				status, rep := h.commands(call.Commands)
+				w.commanded(h, answer, status)
 				if answer {
 					w.after(w.latency(), func() { reply(controller.WorkerReply{Status: status, Report: rep}) })
 				}
