--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
@@ -58,12 +59,32 @@
 // from a moment that nobody announces; what Next doesn't name stays.
 type State struct {
 	Limits
-	Next struct {
-		RPS      *float64 `toml:"rps"`
-		WriteRPS *float64 `toml:"write_rps"`
-		ValueKB  *float64 `toml:"value_kb"`
-		TxnOps   *int     `toml:"txn_ops"`
-	} `toml:"next"`
+	Next Next `toml:"next"`
+}
+
+// Next names the limits that will change.
+type Next struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// String shows what is named.
+func (n Next) String() string {
+	var named []string
+	show := func(name string, value *float64) {
+		if value != nil {
+			named = append(named, fmt.Sprintf("%s:%v", name, *value))
+		}
+	}
+	show("RPS", n.RPS)
+	show("WriteRPS", n.WriteRPS)
+	show("ValueKB", n.ValueKB)
+	if n.TxnOps != nil {
+		named = append(named, fmt.Sprintf("TxnOps:%d", *n.TxnOps))
+	}
+	return "{" + strings.Join(named, " ") + "}"
 }
 
 // Limits of the state service.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -104,6 +104,9 @@
 	if want := (Limits{100, 50, 2, 16}); p.Facts.State.Tightest() != want {
 		t.Errorf("tightest %+v, want %+v", p.Facts.State.Tightest(), want)
 	}
+	if got := p.Facts.State.Next.String(); got != "{WriteRPS:70 ValueKB:2}" {
+		t.Errorf("shown as %s", got)
+	}
 	for _, bad := range []string{"value_kb = 0", "value_kb = \"much\"", "txn_ops = -1", "txn_ops = 2.5", "write_rps = 0.0", "rps = nan"} {
 		name, _, _ := strings.Cut(bad, " ")
 		if _, err := load("[facts.state.next]\n" + bad); err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
--- a/controller/chains.go
+++ b/controller/chains.go
@@ -85,6 +85,7 @@
 			l.cancel(j)
 			l.settle(j)
 		default:
+			c.log(slog.LevelInfo, "job ready", "job", id, "after", c.now.Sub(j.accepted))
 			l.becameReady(j)
 		}
 	}
@@ -143,9 +144,6 @@
 	}
 	l.arrived(j)
 	l.wantPlacement()
-	if len(j.spec.Needs) > 0 {
-		l.c.log(slog.LevelInfo, "job ready", "job", j.id, "after", l.c.now.Sub(j.accepted))
-	}
 }
 
 // soonReady lists what will be wanted by jobs that are about to be released: all that
