internal/sim: three meetings are counted only when they have come about

Read again: that all controllers are away for longer than a lease, that a zone is cut off for that long, and that there is more work than room were noted when the trouble was drawn, so the test could not miss them. The program is untouched; only the simulator's sources change.

--- a/internal/sim/meetings.go
+++ b/internal/sim/meetings.go
@@ -128,8 +128,9 @@
 			w.faults.island = island{"a", n}
 			n.cutOff = true
 			w.users.callOff(count, 0)
+			since := w.now
 			w.after(min(w.leaseTime()+lasting, max(end-w.now, 0)), func() {
-				if w.now > w.leaseTime() {
+				if w.now-since > w.leaseTime() {
 					w.met["a zone with a controller cut off"]++
 				}
 				w.faults.island = island{}
@@ -139,8 +140,12 @@
 		},
 		func() { // much more work than room, over slow links
 			w.faults.slowLinks = time.Duration(share * float64(400*time.Millisecond))
-			undo(func() { w.faults.slowLinks = 0 })
-			w.met["much more work than room over slow links"]++
+			undo(func() {
+				w.faults.slowLinks = 0
+				if slices.ContainsFunc(w.users.list, (*simJob).waitsToBegin) {
+					w.met["much more work than room over slow links"]++
+				}
+			})
 			for range 8 {
 				w.users.submitNew()
 			}
@@ -161,7 +166,11 @@
 			w.after(lasting/4+w.between(0, time.Second), func() { w.leading().crash(short) })
 		},
 		func() { // all end for longer than a lease, and one returns first
-			w.met["all controllers away for longer than a lease"]++
+			w.after(w.leaseTime()-time.Millisecond, func() { // the first returns right after
+				if !slices.ContainsFunc(w.nodes, func(n *node) bool { return n.core != nil }) {
+					w.met["all controllers away for longer than a lease"]++
+				}
+			})
 			for i, n := range w.nodes {
 				n.crash(min(w.leaseTime()+time.Duration(i)*short, max(end-w.now, short)))
 			}
@@ -170,6 +179,9 @@
 	return kinds[pick%uint64(len(kinds))]
 }
 
+// waitsToBegin tells whether nothing of an accepted job that nobody called off has run.
+func (j *simJob) waitsToBegin() bool { return j.accepted && !j.begun && !j.mayBeOff() }
+
 func (w *World) leaseTime() time.Duration {
 	return time.Duration(w.cfg.Facts.Workers.LeaseS * float64(time.Second))
 }
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -103,7 +103,7 @@
 			cs = body.Commands
 		}
 	}
-	late := w.cancelTime() - time.Duration(w.cfg.Facts.Workers.LeaseS*float64(time.Second))
+	late := w.cancelTime() - w.leaseTime()
 	for _, c := range cs {
 		if j := w.users.jobOf(c.Task); c.Op == wire.OpRun && j != nil && j.cancelTold && w.now > j.cancelledAt+late {
 			w.broken("ran_cancelled", "%s is told to run, called off at %v", c.Task, j.cancelledAt)
