controller: what the first version with chains writes is a second fixture

New: a leader continues from its chains, and every record of both versions keeps its keys and fields when this one writes it again. The tests from before chains keep their assertions; TestContinuesFromProduction is now TestContinuesFromBeforeChains, TestProductionReadsWhatWeWrite is TestVersion1ReadsWhatWeAdd, and TestMeshOfTwoVersions reads both fixtures.

--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -21,37 +22,45 @@
 	"pumicefront/wire"
 )
 
-// production is what the version before job chains has written. It was made by
-// testdata/fixture.go.txt, as a test in package controller of the commit that
-// deploy/service.toml names.
-type production struct{ Records, Messages map[string][]byte }
+// fixture is what an earlier version has written: values of the state service by key,
+// messages between controllers by name, and the description of those messages under
+// "described".
+type fixture struct{ Records, Messages map[string][]byte }
 
-func written(t *testing.T) production {
+// The earlier versions whose data must stay readable. Each testdata/NAME.json was made by
+// testdata/NAME.go.txt, run as a test in package controller of the commit.
+const (
+	beforeChains = "before-chains" // commit 4401b8b, version 1
+	firstChains  = "chains"        // commit 982ebb7, version 2
+)
+
+func readFixture(t *testing.T, name string) fixture {
 	t.Helper()
-	raw, err := os.ReadFile("testdata/production.json")
+	raw, err := os.ReadFile("testdata/" + name + ".json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var p production
-	if err := json.Unmarshal(raw, &p); err != nil {
+	var f fixture
+	if err := json.Unmarshal(raw, &f); err != nil {
 		t.Fatal(err)
 	}
-	return p
+	return f
 }
 
-// continuing is a leader that takes over what production has written, with coming limits
-// that are far below what it was written by.
-func continuing(t *testing.T) (*Core, *lead, production) {
+// continuing is a leader that takes over what an earlier version has written, with coming
+// limits that are far below what it was written by.
+func continuing(t *testing.T, name string) (*Core, *lead, fixture) {
 	t.Helper()
 	c, _, _ := leading(t)
-	p := written(t)
+	p := readFixture(t, name)
 	st := &c.cfg.Facts.State
 	kb, ops := 2.0, 5
 	st.Limits = config.Limits{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 16}
 	st.Next.ValueKB, st.Next.TxnOps = &kb, &ops
 	version := uint64(10)
 	var tasks, hires []wire.Item
-	for key, raw := range p.Records {
+	for _, key := range slices.Sorted(maps.Keys(p.Records)) {
+		raw := p.Records[key]
 		version++
 		switch {
 		case strings.HasPrefix(key, taskPrefix):
@@ -74,8 +83,8 @@
 	}
 }
 
-func TestContinuesFromProduction(t *testing.T) {
-	c, l, p := continuing(t)
+func TestContinuesFromBeforeChains(t *testing.T) {
+	c, l, p := continuing(t, beforeChains)
 	j := l.jobs["req-000001"]
 	if j == nil || j.per != 204 || len(j.attempts) != 185 || j.state.Count(reduction.Completed) != 11 || j.accepted.UnixMilli() != 1893456000000 {
 		t.Fatalf("%+v", j)
@@ -94,10 +103,10 @@
 	}
 }
 
-// What production has stored in records larger than may be written soon stays in its form
-// while production may come back, and is written in smaller form after that.
+// What version 1 has stored in records larger than may be written soon stays in its form
+// while that version may come back, and is written in smaller form after that.
 func TestLargeRecordsAreDivided(t *testing.T) {
-	c, l, _ := continuing(t)
+	c, l, _ := continuing(t, beforeChains)
 	j := l.jobs["req-000001"]
 	end := func(task int) {
 		l.gone(j.attempts[task], reduction.Succeeded, "done")
@@ -131,7 +140,7 @@
 	}
 	// The next leader reads both, and what was written last stands.
 	items := map[string][]byte{}
-	for key, raw := range written(t).Records {
+	for key, raw := range readFixture(t, beforeChains).Records {
 		if strings.HasPrefix(key, taskPrefix) {
 			items[key] = raw
 		}
@@ -160,7 +169,88 @@
 	}
 }
 
-// The records of production as it reads them. It ignores what it doesn't know.
+// A leader takes up the chains that version 2 has recorded: what runs goes on, what waits
+// is held, and what a cancelled job took with it stays cancelled.
+func TestContinuesFromFirstChains(t *testing.T) {
+	c, l, p := continuing(t, firstChains)
+	first := l.jobs["req-000010"]
+	if first == nil || first.state.Count(reduction.Completed) != 2 || len(first.attempts) != 1 || l.held(first) {
+		t.Fatalf("the first job of the chain: %+v", first)
+	}
+	if first.terms.Rank != 1 || first.due.last == nil || first.due.last.ID != "req-000012" {
+		t.Errorf("the first job has rank %d and the deadline %+v", first.terms.Rank, first.due)
+	}
+	for _, id := range []string{"req-000011", "req-000012", "req-000015"} {
+		if j := l.jobs[id]; j == nil || !l.held(j) || j.cancelled {
+			t.Errorf("%s, which waits: %+v", id, j)
+		}
+	}
+	for _, id := range []string{"req-000013", "req-000014", "req-000016"} {
+		if j := l.jobs[id]; j == nil || !j.cancelled || c.jobState(id).State != wire.StateCancelled {
+			t.Errorf("%s, which is cancelled: %+v", id, j)
+		}
+	}
+	c.over("req-000003", *decode[finalRecord](p.Records[finalKey("req-000003")]))
+	if !l.held(l.jobs["req-000015"]) {
+		t.Error("req-000015 is released while req-000010 runs")
+	}
+	divided := l.jobs["req-000001"]
+	if !divided.small || divided.state.Status(12) != reduction.Completed || divided.attempts[20] == nil || divided.attempts[30] == nil {
+		t.Errorf("the job with divided records: %+v", divided)
+	}
+}
+
+// sameFields tells whether two encoded records hold the same fields and values.
+func sameFields(t *testing.T, read, written []byte) bool {
+	t.Helper()
+	var was, is any
+	if wire.Unmarshal(read, &was) != nil || wire.Unmarshal(written, &is) != nil {
+		t.Fatal("a record can't be read")
+	}
+	return reflect.DeepEqual(was, is)
+}
+
+// rewritten is a record of an earlier version after this one has read and written it.
+func rewritten(t *testing.T, key string, raw []byte) []byte {
+	t.Helper()
+	switch {
+	case strings.HasPrefix(key, headerPrefix):
+		return wire.Marshal(decode[headerRecord](raw))
+	case strings.HasPrefix(key, finalPrefix):
+		return wire.Marshal(decode[finalRecord](raw))
+	case strings.HasPrefix(key, taskPrefix):
+		return wire.Marshal(decode[taskRecord](raw))
+	case strings.HasPrefix(key, hirePrefix):
+		return wire.Marshal(decode[hireRecord](raw))
+	case strings.HasPrefix(key, versionPrefix):
+		return wire.Marshal(decode[versionRecord](raw))
+	case key == leaderKey:
+		return wire.Marshal(decode[leaderRecord](raw))
+	case key == tokenKey:
+		return wire.Marshal(decode[tokenRecord](raw))
+	case key == typesKey:
+		return wire.Marshal(decode[wire.MachineTypes](raw))
+	}
+	t.Fatalf("nobody reads %s", key)
+	return nil
+}
+
+// Earlier versions find in our records, under the same keys and fields, all that they
+// have written there themselves: no job, cancellation or placement is lost to them.
+func TestEarlierVersionsReadOurRecords(t *testing.T) {
+	for _, name := range []string{beforeChains, firstChains} {
+		for key, raw := range readFixture(t, name).Records {
+			if !sameFields(t, raw, rewritten(t, key, raw)) {
+				t.Errorf("%s: %s reads differently once it is written again", name, key)
+			}
+		}
+	}
+	if sameFields(t, wire.Marshal(finalRecord{Tasks: 3}), wire.Marshal(finalRecord{Tasks: 3, EndedMS: 7})) {
+		t.Error("a difference is not noticed")
+	}
+}
+
+// The records as version 1 reads them. It ignores what it doesn't know.
 type (
 	oldHeader struct {
 		Job        oldJob `cbor:"j"`
@@ -180,7 +270,7 @@
 	}
 )
 
-func TestProductionReadsWhatWeWrite(t *testing.T) {
+func TestVersion1ReadsWhatWeAdd(t *testing.T) {
 	job := wire.Job{ID: "req-000009", Class: "batch", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 30, CPUs: 1,
 		Image: "img-0", Needs: []string{"req-000001"}}
 	h := decode[oldHeader](wire.Marshal(headerRecord{Job: job, AcceptedMS: 5, PerChunk: 25}))
@@ -198,17 +288,23 @@
 	}
 	for _, key := range []string{versionPrefix + "n1", smallKey("req-000009", 2)} {
 		if strings.HasPrefix(key, headerPrefix) || key == leaderKey || key == tokenKey || key == typesKey {
-			t.Errorf("production takes %s for something else", key)
+			t.Errorf("version 1 takes %s for something else", key)
 		}
 	}
 }
 
-// Messages of the mesh both ways: ours read with the description that production has of
-// them, and its messages by us.
+// Messages of the mesh both ways: ours read with the description that an earlier version
+// has of them, and its messages by us.
 func TestMeshOfTwoVersions(t *testing.T) {
-	p := written(t)
+	for _, name := range []string{beforeChains, firstChains} {
+		t.Run(name, func(t *testing.T) { checkMessages(t, readFixture(t, name).Messages) })
+	}
+}
+
+func checkMessages(t *testing.T, messages map[string][]byte) {
+	t.Helper()
 	var described descriptorpb.FileDescriptorProto
-	if err := proto.Unmarshal(p.Messages["described"], &described); err != nil {
+	if err := proto.Unmarshal(messages["described"], &described); err != nil {
 		t.Fatal(err)
 	}
 	file, err := protodesc.NewFile(&described, nil)
@@ -216,7 +312,7 @@
 		t.Fatal(err)
 	}
 	old := file.Messages().ByName("Envelope")
-	for name, raw := range p.Messages {
+	for name, raw := range messages {
 		if name == "described" {
 			continue
 		}
@@ -234,11 +330,11 @@
 		}
 		again := dynamicpb.NewMessage(old)
 		if err := proto.Unmarshal(back, again); err != nil || !proto.Equal(theirs, again) {
-			t.Errorf("%s: production reads %v where it wrote %v (%v)", name, again, theirs, err)
+			t.Errorf("%s: the earlier version reads %v where it wrote %v (%v)", name, again, theirs, err)
 		}
 		again.Range(func(fd protoreflect.FieldDescriptor, v protoreflect.Value) bool {
 			if fd.Message() != nil && len(v.Message().GetUnknown()) > 0 {
-				t.Errorf("%s: fields that production doesn't know: %s", name, fmt.Sprint(v))
+				t.Errorf("%s: fields that the earlier version doesn't know: %s", name, fmt.Sprint(v))
 			}
 			return true
 		})
