Headers are measured as the state service does: in JSON form

Cause: the protocol's size limits count the JSON form, and a header was held against them in its CBOR form, which is shorter. With values of 2 KiB, 136 to 157 needed jobs passed our check and were refused by the state service, so such a submission got 503 until its user gave up. TestLongListsOfNeededJobs, measuring as the service does, failed at 136 jobs before; the stand-in store and the tests of divided records now measure so too. A list that doesn't fit gets 400 as before.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -1065,8 +1065,8 @@
 			case StateCall:
 				if o.Op == OpWatch { // asked whether the job is known: the header is too large
 					refused = len(spec.Needs)
-				} else if n := len(o.Txn.Then[0].Value); n > 2048 {
-					t.Fatalf("%d needed jobs: a value of %d bytes", len(spec.Needs), n)
+				} else if n := wire.Size(o.Txn.Then[0].Value); n > 2048 {
+					t.Fatalf("%d needed jobs: a value of %d characters", len(spec.Needs), n)
 				}
 			}
 		}
--- a/controller/record.go
+++ b/controller/record.go
@@ -104,19 +104,25 @@
 }
 
 // perChunk is how many tasks go into one task record so that it stays within
-// the largest value: a placement takes up to 60 bytes of it.
+// the largest value: a placement takes up to 75 characters of it as JSON.
 func perChunk(valueKB float64) int { return max(1, int(valueKB*1024/80)) }
 
-// headerRoom is what a header may take of the largest value: a cancellation adds to it.
+// headerRoom is what a header leaves of the largest value: a cancellation adds to it.
 const headerRoom = 64
 
+// fits tells whether a value, and as many characters more, is within the state service's
+// limit, which counts the JSON form.
+func fits(raw []byte, more int, valueKB float64) bool {
+	return float64(wire.Size(raw)+more) <= valueKB*1024
+}
+
 // cancelledHeader is a header with the cancellation in it. Where an earlier version has
 // stored more than may be written now, what nobody needs of a job that is called off is
 // left out.
 func cancelledHeader(h headerRecord, valueKB float64) []byte {
 	h.Cancelled = true
 	raw := wire.Marshal(h)
-	if float64(len(raw)) > valueKB*1024 {
+	if !fits(raw, 0, valueKB) {
 		h.Job.Types, h.Job.Needs, h.Job.Image, h.Job.Zone = nil, nil, "", ""
 		raw = wire.Marshal(h)
 	}
--- a/controller/users.go
+++ b/controller/users.go
@@ -212,7 +212,7 @@
 	}
 	limits := c.cfg.Facts.State.Tightest()
 	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: perChunk(limits.ValueKB)}
-	tooBig := float64(len(wire.Marshal(h))+headerRoom) > limits.ValueKB*1024
+	tooBig := !fits(wire.Marshal(h), headerRoom, limits.ValueKB)
 	switch {
 	case err != nil || tooBig:
 		c.lookup(id, func(k known) { c.tell(r, k, http.StatusBadRequest) })
--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -134,8 +134,8 @@
 		t.Fatalf("small %v, writes %+v", j.small, changes)
 	}
 	for _, change := range changes {
-		if len(change.Value) > 2048 || !strings.HasPrefix(change.Put, taskPrefix+j.id+"/s") {
-			t.Errorf("writes %d bytes to %s", len(change.Value), change.Put)
+		if wire.Size(change.Value) > 2048 || !strings.HasPrefix(change.Put, taskPrefix+j.id+"/s") {
+			t.Errorf("writes %d characters to %s", wire.Size(change.Value), change.Put)
 		}
 	}
 	// The next leader reads both, and what was written last stands.
@@ -280,7 +280,7 @@
 	big := job
 	big.Types = strings.Split(strings.Repeat("some-machine-type ", 200), " ")
 	raw := cancelledHeader(headerRecord{Job: big, PerChunk: 204}, 2)
-	if h := decode[oldHeader](raw); h == nil || !h.Cancelled || h.Job.Tasks != 30 || h.Job.Team != "red" || len(raw) > 2048 {
+	if h := decode[oldHeader](raw); h == nil || !h.Cancelled || h.Job.Tasks != 30 || h.Job.Team != "red" || wire.Size(raw) > 2048 {
 		t.Errorf("a cancelled header of %d bytes: %+v", len(raw), h)
 	}
 	if f := decode[oldFinal](wire.Marshal(finalRecord{Tasks: 3, EndedMS: 7})); f == nil || f.Tasks != 3 || f.Cancelled {
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -160,7 +160,7 @@
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
 			return controller.StateReply{Status: http.StatusBadRequest, Txn: wire.TxnAnswer{Error: "no such lease"}}
 		}
-		if len(c.Value) > int(s.limits.ValueKB*1024) {
+		if wire.Size(c.Value) > int(s.limits.ValueKB*1024) {
 			s.tooLarge++
 			return controller.StateReply{Status: http.StatusBadRequest, Txn: wire.TxnAnswer{Error: "value too large"}}
 		}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -83,3 +83,21 @@
 		}
 	}
 }
+
+// The limits of the state service count the JSON form, which is longer than what is sent.
+func TestSizeCountsTheJSONForm(t *testing.T) {
+	for want, value := range map[string]any{
+		`{"uid":"req-000412","waits_on":["req-000398","req-000405"]}`: map[string]any{"uid": "req-000412", "waits_on": []string{"req-000398", "req-000405"}},
+		`[4.0,-12.5,7,true,null,[],{}]`:                               []any{4.0, -12.5, uint64(7), true, nil, []any{}, map[string]any{}},
+		`"a \"quoted\" word"`:                                         `a "quoted" word`,
+		`"\u00e9"`:                                                    "é",
+	} {
+		raw := Marshal(value)
+		if got := Size(raw); got != len(want) {
+			t.Errorf("%s counts %d, want %d", want, got, len(want))
+		}
+		if len(raw) >= len(want) {
+			t.Errorf("%s takes %d bytes", want, len(raw))
+		}
+	}
+}
