A submission may name any number of unfinished jobs that fits into its record

Cause: acceptance was conditional on the header of every unfinished job named, so more than 18 of them (where a transaction takes 5 changes) got 503, and a user who gave up after 60 s had lost the job. With a cancelled one among them the conditions were not even bounded, and the state service would have refused them.

What the conditions guarded against: a job that is named is cancelled and ends between the look and the write, no header tells of it any more, and one controller calls the new job cancelled while others call it queued. Now every controller reads the ends that it doesn't know before it tells of an unfinished job, so no condition is needed. They stay while a process of version 2 may run, which tells from headers alone; members note version 3.

TestSubmissionsThatNeedOthers keeps its assertions with members at version 2.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -986,37 +987,61 @@
 	}
 }
 
-// A submission's predecessors are looked up afresh: one that was never accepted is 422,
-// one that can't be known now 503, and the acceptance holds only for what was found.
-func TestSubmissionsThatNeedOthers(t *testing.T) {
-	c, _, first, _ := chain(t)
+// serving lets a core take submissions that one team's machines can run.
+func serving(c *Core) {
 	members(c, thisVersion)
 	c.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 8, Zones: []string{"a"}}})
 	c.quotas["red"] = quotaOf(config.Team{Name: "red", CPUs: 8})
 	c.control.loaded = true
-	submit := func(needs ...string) (answer *Answer, txn *StateCall) {
-		spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i", Needs: needs}
+}
+
+// answerReads carries out what the core asks of the state service, which holds the given
+// final records and nothing new beside them, until it answers a user or writes.
+func answerReads(c *Core, finals map[string]finalRecord) (answer *Answer, txn *StateCall) {
+	for len(c.out) > 0 {
+		asked := c.out
 		c.out = nil
-		c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
-		for range 4 { // reads are answered with nothing new, and no final record
-			for _, o := range c.out {
-				switch o := o.(type) {
-				case Answer:
-					return &o, nil
-				case StateCall:
-					switch o.Op {
-					case OpTxn:
-						return nil, &o
-					case OpWatch:
-						resume(c.stateCalls, o.ID, StateReply{Status: http.StatusOK, Watch: wire.Watch{Revision: c.control.revision}})
-					case OpGet:
-						resume(c.stateCalls, o.ID, StateReply{Status: http.StatusNotFound})
-					}
+		for _, o := range asked {
+			switch o := o.(type) {
+			case Answer:
+				return &o, nil
+			case StateCall:
+				if o.Op == OpTxn {
+					return nil, &o
 				}
+				resume(c.stateCalls, o.ID, readReply(c, o, finals))
 			}
 		}
-		return nil, nil
 	}
+	return nil, nil
+}
+
+func readReply(c *Core, call StateCall, finals map[string]finalRecord) StateReply {
+	f, over := finals[strings.TrimPrefix(call.Key, finalPrefix)]
+	switch {
+	case call.Op == OpWatch:
+		return StateReply{Status: http.StatusOK, Watch: wire.Watch{Revision: c.control.revision}}
+	case call.Op == OpGet && over:
+		return StateReply{Status: http.StatusOK, Item: wire.Item{Key: call.Key, Value: wire.Marshal(f), Version: 1}}
+	}
+	return StateReply{Status: http.StatusNotFound}
+}
+
+// submitNeeding submits a job that needs others.
+func submitNeeding(c *Core, finals map[string]finalRecord, needs []string) (answer *Answer, txn *StateCall) {
+	spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i", Needs: needs}
+	c.out = nil
+	c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
+	return answerReads(c, finals)
+}
+
+// A submission's predecessors are looked up afresh: one that was never accepted is 422,
+// one that can't be known now 503, and the acceptance holds only for what was found.
+func TestSubmissionsThatNeedOthers(t *testing.T) {
+	c, _, first, _ := chain(t)
+	serving(c)
+	members(c, firstVersionWithChains)
+	submit := func(needs ...string) (answer *Answer, txn *StateCall) { return submitNeeding(c, nil, needs) }
 	if a, _ := submit("req-000077"); a == nil || a.Status != http.StatusUnprocessableEntity {
 		t.Errorf("needs an unknown job: %+v", a)
 	}
@@ -1046,10 +1071,7 @@
 	c, _, _, _ := chain(t)
 	kb, ops := 2.0, 5
 	c.cfg.Facts.State.Next.ValueKB, c.cfg.Facts.State.Next.TxnOps = &kb, &ops
-	members(c, thisVersion)
-	c.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 8, Zones: []string{"a"}}})
-	c.quotas["red"] = quotaOf(config.Team{Name: "red", CPUs: 8})
-	c.control.loaded = true
+	serving(c)
 	spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i"}
 	refused := 0
 	for refused == 0 && len(spec.Needs) < 1000 {
@@ -1077,3 +1099,56 @@
 	}
 	t.Logf("%d needed jobs fit", refused-1)
 }
+
+// However many unfinished jobs a submission names, it is accepted in one transaction that
+// the state service takes. Before, more than 18 got 503 until its user gave up.
+func TestMoreNeededJobsThanConditions(t *testing.T) {
+	c, _, first, _ := chain(t)
+	serving(c)
+	ops := 5
+	c.cfg.Facts.State.Next.TxnOps = &ops
+	var needs []string
+	for n := range 40 {
+		spec := first.spec
+		spec.ID = fmt.Sprintf("req-%06d", 500+n)
+		c.headerChanged(spec.ID, &headerRecord{Job: spec, PerChunk: 10})
+		needs = append(needs, spec.ID)
+	}
+	if answer, txn := submitNeeding(c, nil, needs); txn == nil || len(txn.Txn.If) > 4*ops {
+		t.Errorf("needs %d unfinished jobs: answer %+v, write %+v", len(needs), answer, txn)
+	}
+	members(c, firstVersionWithChains) // which tells of a job from headers alone
+	if answer, txn := submitNeeding(c, nil, needs); answer == nil || answer.Status != http.StatusServiceUnavailable {
+		t.Errorf("beside version 2: answer %+v, write %+v", answer, txn)
+	}
+}
+
+// A job may be accepted just as one that it needs is cancelled and ends, so that no header
+// tells of the cancellation any more. Before a controller tells of the job it finds out,
+// or two of them would call it cancelled and queued in turn.
+func TestEndsOfNeededJobsAreReadBeforeAnswers(t *testing.T) {
+	cancelled := map[string]finalRecord{"req-000010": {Cancelled: true, Tasks: 1}}
+	for name, request := range map[string]UserRequest{
+		"poll":              {Req: 6, Op: UserPoll, Job: "req-000011"},
+		"repeat":            {Req: 6, Op: UserSubmit, Body: body("req-000011")},
+		"cancel":            {Req: 6, Op: UserAbort, Job: "req-000011"},
+		"poll of a later":   {Req: 6, Op: UserPoll, Job: "req-000012"},
+		"repeat of a later": {Req: 6, Op: UserSubmit, Body: body("req-000012")},
+	} {
+		c, _, first, second := chain(t)
+		serving(c)
+		c.lead = nil // a controller that doesn't lead is told of ends by nobody
+		third := second.spec
+		third.ID, third.Needs = "req-000012", []string{second.id}
+		c.headerChanged(third.ID, &headerRecord{Job: third, PerChunk: 10})
+		c.headerChanged(first.id, nil)
+		c.out = nil
+		c.user(request)
+		answer, txn := answerReads(c, cancelled)
+		if answer == nil || answer.Status != http.StatusOK || answer.Body.(wire.JobState).State != wire.StateCancelled {
+			t.Errorf("%s: answer %+v, write %+v", name, answer, txn)
+		}
+	}
+}
+
+func body(id string) []byte { return wire.Marshal(wire.Job{ID: id}) }
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -389,7 +389,7 @@
 
 // compose makes the write that is due for a job; nil: nothing is.
 func (l *lead) compose(j *job) *write {
-	if !j.small && j.per > l.perChunk() && (l.c.upgraded() || l.c.smaller) {
+	if !j.small && j.per > l.perChunk() && (l.c.allRun(firstVersionWithChains) || l.c.smaller) {
 		l.shrink(j)
 	}
 	w := &write{id: l.c.rng.Uint64() >> 1} // no other leader's write may look like ours
--- a/controller/record.go
+++ b/controller/record.go
@@ -54,8 +54,12 @@
 	Version int `cbor:"v"`
 }
 
-// thisVersion is the version that records and messages speak. 2 knows job chains.
-const thisVersion = 2
+// Versions of the records and messages, by what they brought.
+const (
+	firstVersionWithChains = 2
+	firstVersionWithEnds   = 3 // finds out how needed jobs ended before it tells of a job
+	thisVersion            = firstVersionWithEnds
+)
 
 // taskRecord holds a run of a job's tasks: those completed, as ranges, and the
 // attempts in force.
--- a/controller/users.go
+++ b/controller/users.go
@@ -104,7 +104,7 @@
 		case !ok:
 			fn(knownUnsure)
 		case c.control.headers[job] != nil:
-			fn(knownActive)
+			c.lookupEnds(job, fn)
 		default:
 			c.lookupFinal(job, fn)
 		}
@@ -224,7 +224,7 @@
 		c.later(r.Req, "state service not reached")
 	case len(job.Needs) == 0:
 		c.accept(r, h, nil)
-	case !c.upgraded():
+	case !c.allRun(firstVersionWithChains):
 		c.later(r.Req, "an earlier version may still run")
 	default:
 		c.needs(r, &job, func(cancelled bool, conds []wire.Cond) {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -293,3 +293,53 @@
 		t.Error(r)
 	}
 }
+
+// A submission finds the job that it needs unfinished; that one is cancelled and its end is
+// written before the submission's own record. No header tells of the cancellation then, and
+// all controllers must call the job cancelled all the same.
+func TestAcceptanceAfterTheEndOfACancelledJob(t *testing.T) {
+	for seed := range uint64(4) {
+		w := settled(t, 30+seed)
+		needed, later := w.users.jobs[array], &simJob{done: make([]bool, 4)}
+		later.spec, later.needs = needed.spec, []*simJob{needed}
+		later.spec.ID, later.spec.Needs = second, []string{array}
+		held := false
+		w.Tamper.State = func(call *controller.StateCall) (controller.StateReply, bool) {
+			if call.Op != controller.OpTxn || len(call.Txn.Then) == 0 {
+				return controller.StateReply{}, false
+			}
+			refuse := controller.StateReply{Status: http.StatusServiceUnavailable}
+			if call.Txn.Then[0].Put == "f/"+second { // its end is never written, so all have to find out
+				return refuse, true
+			}
+			if call.Txn.Then[0].Put != "c/j/"+second {
+				return controller.StateReply{}, false
+			}
+			if !held { // answered as if it had not run, and carried out late
+				held = true
+				late := call.Txn
+				w.after(3*time.Second, func() { w.store.txn(late) })
+			}
+			return refuse, true
+		}
+		w.users.enter(later)
+		w.Run(w.now + 500*time.Millisecond)
+		if !held {
+			t.Fatal("the submission has not come to its write")
+		}
+		w.faults.closeLooks = true
+		callOffAt(t, w, w.nodes[0], array)
+		for range 400 {
+			for _, n := range w.nodes {
+				w.users.look(n, later, controller.UserRequest{Op: controller.UserPoll, Job: second})
+			}
+			w.Run(w.now + 20*time.Millisecond)
+		}
+		if !later.cancelTold {
+			t.Errorf("seed %d: the job that needs a cancelled one is not called cancelled", seed)
+		}
+		for _, r := range w.Rules {
+			t.Errorf("seed %d: %s", seed, r)
+		}
+	}
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -144,6 +144,7 @@
 		"a job called off with one that it needs",
 		"a job accepted that needs a cancelled one",
 		"a job accepted that needs a finished one",
+		"a job accepted with a long list of needed jobs",
 		"the state service lowers its limits",
 	})
 }
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -156,20 +156,30 @@
 	u.stage(before, 0, 2+w.rng.IntN(3), w.chance(0.2))
 }
 
+// wideStage is how many jobs a wide stage has: the next one names more than a transaction
+// takes conditions.
+const wideStage = 25
+
 func (u *users) stage(before []*simJob, n, stages int, late bool) {
 	w := u.w
 	if n == stages {
 		return
 	}
 	width := 1
-	if n > 0 && w.chance(0.3) {
+	switch {
+	case n > 0 && w.chance(0.3):
 		width = 2
+	case n == 0 && w.chance(0.15):
+		width = wideStage
 	}
 	var jobs []*simJob
 	for range width {
 		j := u.draw()
 		j.spec.Kind, j.spec.Class, j.spec.Priority = wire.KindArray, "stage", "best_effort"
 		j.spec.Tasks, j.run = 1+w.rng.IntN(4), w.between(time.Second, 8*time.Second)
+		if width == wideStage {
+			j.spec.Tasks, j.spec.CPUs, j.spec.Spread = 1, 1, false
+		}
 		j.done, j.needs = make([]bool, j.spec.Tasks), before
 		j.spec.EstimateS = j.run.Seconds()
 		if n == stages-1 {
@@ -280,6 +290,9 @@
 			}
 			u.w.checkState(j, before, a.Body.(wire.JobState))
 			if first {
+				if len(j.needs) >= wideStage {
+					u.w.met["a job accepted with a long list of needed jobs"]++
+				}
 				for _, p := range j.needs {
 					if p.cancelTold {
 						u.w.met["a job accepted that needs a cancelled one"]++
