config: an unusable coming limit is named and doesn't stop the start

Cause: a bad value under state.next stopped the service, though it can run with safe ones. Now each is a warning (check-settings prints them, serve logs them), and the least that a controller can work with is kept to instead. Limits that hold now stop the start as before.

--- a/cmd/pumicefront/main.go
+++ b/cmd/pumicefront/main.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	for _, warning := range cfg.Warnings {
+		slog.Error("setting not used", "warning", warning)
+	}
 	tune(cfg)
 	return server.New(cfg, op).Run(context.Background())
 }
@@ -53,6 +56,9 @@
 		return err
 	}
 	fmt.Printf("platform: %+v\noperators: %+v\n", *cfg, op)
+	for _, warning := range cfg.Warnings {
+		fmt.Println("warning:", warning)
+	}
 	return nil
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
@@ -27,6 +26,8 @@
 		State string `toml:"state"`
 	} `toml:"external"`
 	Facts Facts `toml:"facts"`
+
+	Warnings []Warning `toml:"-"` // settings that could not be used
 }
 
 // Peer is another controller.
@@ -59,32 +60,7 @@
 // from a moment that nobody announces; what Next doesn't name stays.
 type State struct {
 	Limits
-	Next Next `toml:"next"`
-}
-
-// Next names the limits that will change.
-type Next struct {
-	RPS      *float64 `toml:"rps"`
-	WriteRPS *float64 `toml:"write_rps"`
-	ValueKB  *float64 `toml:"value_kb"`
-	TxnOps   *int     `toml:"txn_ops"`
-}
-
-// String shows what is named.
-func (n Next) String() string {
-	var named []string
-	show := func(name string, value *float64) {
-		if value != nil {
-			named = append(named, fmt.Sprintf("%s:%v", name, *value))
-		}
-	}
-	show("RPS", n.RPS)
-	show("WriteRPS", n.WriteRPS)
-	show("ValueKB", n.ValueKB)
-	if n.TxnOps != nil {
-		named = append(named, fmt.Sprintf("TxnOps:%d", *n.TxnOps))
-	}
-	return "{" + strings.Join(named, " ") + "}"
+	Next Next `toml:"-"`
 }
 
 // Limits of the state service.
@@ -177,9 +153,29 @@
 	if err := p.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := p.readNext(raw); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	return &p, nil
 }
 
+// readNext takes the coming limits from the file apart from the rest: what is wrong with
+// them must not stop the service from starting.
+func (p *Platform) readNext(raw []byte) error {
+	var file struct {
+		Facts struct {
+			State struct {
+				Next any `toml:"next"`
+			} `toml:"state"`
+		} `toml:"facts"`
+	}
+	if err := toml.Unmarshal(raw, &file); err != nil {
+		return fmt.Errorf("read coming limits: %w", err)
+	}
+	p.Facts.State.Next, p.Warnings = nextLimits(file.Facts.State.Next)
+	return nil
+}
+
 // LoadOperator reads and checks the operators' file; with no path the defaults hold.
 func LoadOperator(path string) (Operator, error) {
 	o := DefaultOperator()
@@ -266,19 +262,15 @@
 			return fmt.Errorf("field facts.teams: team %q has no name, or a guarantee outside its limit", t.Name)
 		}
 	}
-	f, next := &p.Facts, p.Facts.State.Coming()
+	f := &p.Facts
 	return checkFields([]field{
 		{"facts.workers.report_s", f.Workers.ReportS, 0.01, 3600},
 		{"facts.workers.lease_s", f.Workers.LeaseS, 0.1, 86400},
 		{"facts.workers.cancel_s", f.Workers.CancelS, 0.1, 86400},
-		{"facts.state.rps", f.State.RPS, 10, 1e6},
-		{"facts.state.write_rps", f.State.WriteRPS, 5, 1e6},
-		{"facts.state.value_kb", f.State.ValueKB, 1, 1e4},
-		{"facts.state.txn_ops", float64(f.State.TxnOps), 4, 1e4},
-		{"facts.state.next.rps", next.RPS, 10, 1e6},
-		{"facts.state.next.write_rps", next.WriteRPS, 5, 1e6},
-		{"facts.state.next.value_kb", next.ValueKB, 1, 1e4},
-		{"facts.state.next.txn_ops", float64(next.TxnOps), 4, 1e4},
+		{"facts.state.rps", f.State.RPS, leastRPS, mostOfALimit},
+		{"facts.state.write_rps", f.State.WriteRPS, leastWriteRPS, mostOfALimit},
+		{"facts.state.value_kb", f.State.ValueKB, leastValueKB, 1e4},
+		{"facts.state.txn_ops", float64(f.State.TxnOps), leastTxnOps, 1e4},
 		{"facts.cloud.rps", f.Cloud.RPS, 0.1, 1e4},
 		{"facts.cloud.list_lag_s", f.Cloud.ListLagS, 0, 3600},
 		{"facts.resources.memory_mb", f.Resources.MemoryMB, 32, 1e6},
