--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -954,6 +954,27 @@
 	}
 }
 
+// A job that waits for others takes no part of its team's guarantee: the team's other work
+// stays within it. Once it is ready, it takes its part.
+func TestWaitingJobsLeaveTheGuarantee(t *testing.T) {
+	c, l, first, second := chain(t)
+	c.quotas["red"] = quotaOf(config.Team{Name: "red", CPUs: 1, CPUsMax: 4})
+	for _, j := range []*job{first, second} {
+		j.spec.Team, j.terms.Team = "red", "red"
+	}
+	second.spec.CPUs = 0.25 // less work: it would come first
+	l.dealShares()
+	if first.terms.Borrowed {
+		t.Error("a job that waits takes the guarantee")
+	}
+	c.over(first.id, finalRecord{Tasks: 1})
+	l.sharesAt = time.Time{}
+	l.dealShares()
+	if !first.terms.Borrowed || second.terms.Borrowed {
+		t.Errorf("beyond the guarantee: first %v, second %v", first.terms.Borrowed, second.terms.Borrowed)
+	}
+}
+
 // A leader that finds neither the header nor the end of a needed job asks for its final
 // record and releases nothing before it has it.
 func TestUnknownEndHoldsWhatNeedsIt(t *testing.T) {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -145,6 +145,7 @@
 		"a job accepted that needs a cancelled one",
 		"a job accepted that needs a finished one",
 		"a job accepted with a long list of needed jobs",
+		"a cancellation answered with done, and jobs that need the job go on",
 		"the state service lowers its limits",
 	})
 }
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -59,9 +59,10 @@
 	return at, off
 }
 
-// mayBeOff tells whether anybody has asked to call off a job or one before it.
+// mayBeOff tells whether a job may be cancelled: somebody has asked for it, or for one before
+// it, and has not been told that it is done.
 func (j *simJob) mayBeOff() bool {
-	return j.askedCancel || slices.ContainsFunc(j.needs, (*simJob).mayBeOff)
+	return !j.doneTold && (j.askedCancel || slices.ContainsFunc(j.needs, (*simJob).mayBeOff))
 }
 
 func (j *simJob) left() int {
@@ -337,6 +338,9 @@
 	u.request(controller.UserRequest{Op: controller.UserAbort, Job: j.spec.ID}, func(a controller.Answer) {
 		if a.Status == http.StatusOK {
 			u.w.checkState(j, before, a.Body.(wire.JobState))
+			if j.doneTold && slices.ContainsFunc(u.list, func(later *simJob) bool { return slices.Contains(later.needs, j) }) {
+				u.w.met["a cancellation answered with done, and jobs that need the job go on"]++
+			}
 			u.lookClosely(j)
 			return
 		}
