--- a/controller/chains.go
+++ b/controller/chains.go
@@ -19,28 +19,28 @@
 // needs it any more, so the closure never loses what it rests on.
 
 // link takes a header into the graph and tells the leader what changes by it.
-func (c *Core) link(id string, h *headerRecord) {
+func (c *Core) addToChains(id string, h *headerRecord) {
 	if h.Cancelled {
-		c.moved(c.chains.Accumulate(id, reduction.Cancelled))
+		c.chainsChanged(c.chains.Accumulate(id, reduction.Cancelled))
 		return
 	}
 	if len(h.Job.Needs) == 0 {
 		return
 	}
-	c.moved(c.chains.Add(id, h.Job.Needs))
+	c.chainsChanged(c.chains.Add(id, h.Job.Needs))
 	for _, p := range h.Job.Needs {
 		if ph := c.control.headers[p]; ph != nil && ph.Cancelled {
-			c.moved(c.chains.Accumulate(p, reduction.Cancelled))
+			c.chainsChanged(c.chains.Accumulate(p, reduction.Cancelled))
 		} else if f, over := c.final.jobs[p]; over {
-			c.ended(p, f)
+			c.accumulateEnd(p, f)
 		} else if ph == nil && c.lead != nil && c.lead.recovered {
-			c.lead.askEnd(p)
+			c.lead.fetchEnd(p)
 		}
 	}
 }
 
 // unlink takes in that a header is gone.
-func (c *Core) unlink(id string, h *headerRecord) {
+func (c *Core) removeFromChains(id string, h *headerRecord) {
 	c.chains.Drop(id)
 	l := c.lead
 	if l == nil || !l.recovered {
@@ -52,26 +52,26 @@
 		}
 	}
 	if len(c.chains.Successors(id)) > 0 && c.chains.Status(id) == reduction.Pending {
-		l.askEnd(id)
+		l.fetchEnd(id)
 	}
 }
 
 // over takes in the final record of a job.
-func (c *Core) over(id string, f finalRecord) {
+func (c *Core) jobEnded(id string, f finalRecord) {
 	c.final.add(id, f)
-	c.ended(id, f)
+	c.accumulateEnd(id, f)
 }
 
-func (c *Core) ended(id string, f finalRecord) {
+func (c *Core) accumulateEnd(id string, f finalRecord) {
 	o := reduction.Succeeded
 	if f.Cancelled {
 		o = reduction.Cancelled
 	}
-	c.moved(c.chains.Accumulate(id, o))
+	c.chainsChanged(c.chains.Accumulate(id, o))
 }
 
 // moved tells the leader of jobs that are ready or called off by what became of others.
-func (c *Core) moved(ids []string) {
+func (c *Core) chainsChanged(ids []string) {
 	l := c.lead
 	if l == nil || !l.recovered {
 		return
@@ -99,23 +99,23 @@
 
 // held tells whether a job waits for others: it starts nothing, rents nothing, and takes
 // no part of its team's guarantee.
-func (l *lead) held(j *job) bool {
+func (l *leader) blocked(j *job) bool {
 	return len(j.spec.Needs) > 0 && l.c.chains.Classify(j.id) == reduction.Waiting
 }
 
 // askEnd finds out how a job ended that others need and whose header is gone: nothing
 // but its final record tells.
-func (l *lead) askEnd(id string) {
+func (l *leader) fetchEnd(id string) {
 	c := l.c
 	c.lookup(id, func(k known) {
 		switch {
 		case c.lead != l || k == knownActive:
 		case k == knownFinal:
-			c.ended(id, c.final.jobs[id])
+			c.accumulateEnd(id, c.final.jobs[id])
 		default:
 			c.after(time.Second, func() {
 				if c.lead == l {
-					l.askEnd(id)
+					l.fetchEnd(id)
 				}
 			})
 		}
@@ -123,11 +123,11 @@
 }
 
 // askEnds asks for all that unfinished jobs need and that this leader knows nothing of.
-func (l *lead) askEnds() {
+func (l *leader) fetchEnds() {
 	for _, j := range l.order {
 		for _, p := range j.spec.Needs {
 			if l.c.control.headers[p] == nil && l.c.chains.Status(p) == reduction.Pending {
-				l.askEnd(p)
+				l.fetchEnd(p)
 			}
 		}
 	}
@@ -135,7 +135,7 @@
 
 // becameReady takes in that a job is ready: its times count from the end of the last job
 // that it needs, also for a leader that was not there.
-func (l *lead) becameReady(j *job) {
+func (l *leader) becameReady(j *job) {
 	j.ready = j.accepted
 	for _, p := range j.spec.Needs {
 		if at := time.UnixMilli(l.c.final.jobs[p].EndedMS); at.After(j.ready) {
@@ -148,27 +148,27 @@
 
 // soonReady lists what will be wanted by jobs that are about to be released: all that
 // they need runs, and should end before a machine that is rented now is up.
-func (l *lead) soonReady() []*scheduler.Demand {
+func (l *leader) soonReady() []*scheduler.Demand {
 	var ds []*scheduler.Demand
 	for _, j := range l.order {
-		if j.cancelled || !l.held(j) || !l.needsEndSoon(j) {
+		if j.cancelled || !l.blocked(j) || !l.needsEndSoon(j) {
 			continue
 		}
 		d := l.c.demandOf(&j.spec)
-		d.Rank, d.Within, d.Tasks = j.terms.Rank, true, make([]int, d.Total)
+		d.Rank, d.WithinGuarantee, d.Tasks = j.terms.Rank, true, make([]int, d.Total)
 		ds = append(ds, d)
 	}
 	return ds
 }
 
-func (l *lead) needsEndSoon(j *job) bool {
+func (l *leader) needsEndSoon(j *job) bool {
 	boot := l.soonestBoot(&j.spec)
 	for _, p := range j.spec.Needs {
 		needed := l.jobs[p]
 		switch {
 		case needed == nil && l.c.chains.Status(p) == reduction.Completed:
 			continue
-		case needed == nil || l.held(needed) || needed.state.Count(reduction.Pending) > 0:
+		case needed == nil || l.blocked(needed) || needed.state.Count(reduction.Pending) > 0:
 			return false
 		}
 		for _, a := range needed.attempts {
@@ -195,13 +195,13 @@
 func (d deadline) at() time.Time { return d.from.Add(config.Seconds(d.within(1))) }
 
 // sooner tells whether d presses more than o.
-func (d deadline) sooner(o deadline) bool {
+func (d deadline) earlier(o deadline) bool {
 	return d.last != nil && (o.last == nil || d.at().Before(o.at()))
 }
 
 // passBack gives the jobs that a job needs its priority and its deadline, where those
 // press more than their own. It stops where nothing changes.
-func (l *lead) passBack(j *job) {
+func (l *leader) inheritUrgency(j *job) {
 	d := j.due
 	d.before += j.spec.EstimateS + l.slowestFetch(&j.spec)
 	for _, p := range j.spec.Needs {
@@ -209,7 +209,7 @@
 		if needed == nil {
 			continue
 		}
-		sooner := d.sooner(needed.due)
+		sooner := d.earlier(needed.due)
 		if !sooner && j.terms.Rank >= needed.terms.Rank {
 			continue
 		}
@@ -217,7 +217,7 @@
 			needed.due = d
 		}
 		needed.terms.Rank = min(needed.terms.Rank, j.terms.Rank)
-		l.passBack(needed)
+		l.inheritUrgency(needed)
 	}
 }
 
@@ -249,11 +249,11 @@
 		case refused:
 			c.answer(r.Req, http.StatusUnprocessableEntity, wire.Error{Error: "needs a job that was never accepted, or a service"})
 		case unsure:
-			c.later(r.Req, "can't tell yet whether the jobs that it needs were accepted")
+			c.retryLater(r.Req, "can't tell yet whether the jobs that it needs were accepted")
 		case cancelled || c.allRun(firstVersionWithEnds):
 			fn(cancelled, nil)
 		case len(conds) > c.maxConds():
-			c.later(r.Req, "needs too many unfinished jobs for an earlier version")
+			c.retryLater(r.Req, "needs too many unfinished jobs for an earlier version")
 		default:
 			fn(false, conds)
 		}
--- a/controller/control.go
+++ b/controller/control.go
@@ -20,10 +20,10 @@
 	headers         map[string]*headerRecord
 	members         map[string]int // the version that each member has noted
 
-	syncing   bool
-	unreached bool      // the last sync failed; it is tried again until one succeeds
-	read      time.Time // when the last read that the copy holds was sent
-	waiting   []func(ok bool)
+	syncing     bool
+	unreachable bool      // the last sync failed; it is tried again until one succeeds
+	read        time.Time // when the last read that the copy holds was sent
+	waiting     []func(ok bool)
 }
 
 func (k *control) init() {
@@ -57,8 +57,8 @@
 			c.applyControl(wire.Event{Put: it.Key, Value: it.Value, Version: it.Version})
 		}
 		c.control.revision = max(c.control.revision, revision)
-		c.control.loaded, c.control.loading, c.control.unreached = true, false, false
-		c.holds(sent)
+		c.control.loaded, c.control.loading, c.control.unreachable = true, false, false
+		c.noteRead(sent)
 		c.follow()
 	})
 }
@@ -98,7 +98,7 @@
 		switch r.Status {
 		case http.StatusOK:
 			c.applyWatch(r.Watch)
-			c.holds(sent)
+			c.noteRead(sent)
 			c.follow()
 		case http.StatusGone:
 			c.load()
@@ -112,15 +112,15 @@
 // called. Requests that arrive meanwhile share one read.
 // While the state service is not reached, the answer is known without waiting.
 func (c *Core) sync(fn func(ok bool)) {
-	if c.control.unreached {
+	if c.control.unreachable {
 		fn(false)
 		return
 	}
-	c.reach(fn)
+	c.syncAlways(fn)
 }
 
 // reach is sync that always tries.
-func (c *Core) reach(fn func(ok bool)) {
+func (c *Core) syncAlways(fn func(ok bool)) {
 	if !c.control.loaded || len(c.control.waiting) >= maxWaiting {
 		fn(false)
 		return
@@ -143,10 +143,10 @@
 	sent := c.now
 	c.state(call, func(r StateReply) {
 		ok := r.Status == http.StatusOK
-		c.control.unreached = r.Status == 0 || r.Status == http.StatusServiceUnavailable
+		c.control.unreachable = r.Status == 0 || r.Status == http.StatusServiceUnavailable
 		if ok {
 			c.applyWatch(r.Watch)
-			c.holds(sent)
+			c.noteRead(sent)
 		} else if r.Status == http.StatusGone && !c.control.loading {
 			// The long watch would find out too late: nothing can be told until then.
 			c.control.loaded = false
@@ -160,8 +160,8 @@
 			return
 		}
 		c.control.syncing = false
-		if c.control.unreached {
-			c.after(retryPause, func() { c.reach(func(bool) {}) })
+		if c.control.unreachable {
+			c.after(retryPause, func() { c.syncAlways(func(bool) {}) })
 		}
 	})
 }
@@ -178,7 +178,7 @@
 }
 
 // holds notes that the copy has all that was written before a read was sent.
-func (c *Core) holds(sent time.Time) {
+func (c *Core) noteRead(sent time.Time) {
 	if sent.After(c.control.read) {
 		c.control.read = sent
 	}
@@ -243,11 +243,11 @@
 	switch {
 	case h != nil:
 		c.control.headers[job] = h
-		c.link(job, h)
+		c.addToChains(job, h)
 	case was != nil:
 		delete(c.control.headers, job)
 		delete(c.progress, job)
-		c.unlink(job, was)
+		c.removeFromChains(job, was)
 	}
 	if c.lead != nil && c.lead.recovered {
 		c.lead.header(job, h)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -17,7 +17,7 @@
 )
 
 // leading returns a core that leads, with one job of two tasks.
-func leading(t *testing.T) (*Core, *lead, *job) {
+func leading(t *testing.T) (*Core, *leader, *job) {
 	t.Helper()
 	var cfg config.Platform
 	cfg.Member = "n0"
@@ -28,7 +28,7 @@
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	c := New(&cfg, config.DefaultOperator(), rand.New(rand.NewPCG(1, 1)), now)
-	c.holds(now) // as who claims has read the headers
+	c.noteRead(now) // as who claims has read the headers
 	c.becomeLeader(now, 1, 7, 1)
 	l := c.lead
 	l.rebuild(nil, nil)
@@ -37,11 +37,11 @@
 }
 
 // place puts an attempt in force as a round does, and has its record written.
-func place(l *lead, j *job, task int, m *machine) *attempt {
+func place(l *leader, j *job, task int, m *machine) *attempt {
 	j.chunks[0].next++
 	a := &attempt{job: j, task: task, number: j.chunks[0].next, machine: m, session: m.session, recorded: true}
 	j.attempts[task] = a
-	m.force(a)
+	m.add(a)
 	j.state.Start(task)
 	return a
 }
@@ -60,12 +60,12 @@
 	l.apply(m, &wire.Report{Machine: m.id, Session: 2, Seq: 2})
 	place(l, j, 0, m)
 	c.now = c.now.Add(time.Second)
-	l.prove()
+	l.proveGone()
 	if j.attempts[0] == nil {
 		t.Fatal("an attempt of the new session is taken for gone")
 	}
 	c.now = c.now.Add(11 * time.Second)
-	l.prove()
+	l.proveGone()
 	if j.attempts[0] != nil {
 		t.Fatal("a lease that has run out proves nothing")
 	}
@@ -140,7 +140,7 @@
 	m := l.machine("i-1")
 	place(l, j, 0, m).recorded = false
 	j.touch(0, c.now)
-	j.pressing = true // as a placement's write is
+	j.urgent = true // as a placement's write is
 	l.writes = rate.NewLimiter(1, 1)
 	l.writes.AllowN(c.now, 1)
 	l.flush()
@@ -236,10 +236,10 @@
 	a := place(l, j, 0, m)
 	l.runCommand(a)
 	l.apply(m, report(m, 7, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskRunning}))
-	c.now = c.now.Add(bumpPause)
+	c.now = c.now.Add(raisePause)
 	l.apply(m, report(m, 7))
-	if j.attempts[0] == nil || !l.bumping {
-		t.Fatalf("in force %v, raising %v", j.attempts[0] != nil, l.bumping)
+	if j.attempts[0] == nil || !l.raisingToken {
+		t.Fatalf("in force %v, raising %v", j.attempts[0] != nil, l.raisingToken)
 	}
 }
 
@@ -286,7 +286,7 @@
 	}
 	call(0)
 	l.apply(m, report(m, 7))
-	l.cut = l.cutZones()
+	l.partitioned = l.partitionedZones()
 	if l.usable(m) {
 		t.Fatal("new work for a machine that hears nothing")
 	}
@@ -337,7 +337,7 @@
 	c.reads.AllowN(c.now, 1)
 	told := []known{}
 	c.lookupFinal("req-000001", func(k known) { told = append(told, k) })
-	c.now = c.now.Add(finalPatience + time.Millisecond)
+	c.now = c.now.Add(finalReadTimeout + time.Millisecond)
 	c.runTimers()
 	if len(told) != 1 || told[0] != knownUnsure {
 		t.Fatalf("told %v", told)
@@ -367,7 +367,7 @@
 	c.runTimers()
 	again := c.out[len(c.out)-1].(StateCall)
 	resume(c.stateCalls, again.ID, StateReply{Status: 200})
-	if c.control.unreached {
+	if c.control.unreachable {
 		t.Fatal("refuses for ever")
 	}
 }
@@ -423,7 +423,7 @@
 	}
 	anew := 0
 	for _, o := range l.fleetOrder {
-		if o.picture == nil {
+		if o.snapshot == nil {
 			anew++
 		}
 	}
@@ -482,12 +482,12 @@
 func TestRentalsAreAskedForOnce(t *testing.T) {
 	c, l, _ := leading(t)
 	rent := func(name string) wire.Rent { return wire.Rent{Request: name, Type: "t", Zone: "a", Count: 2} }
-	item := func(r hireRecord) wire.Item {
-		return wire.Item{Key: hirePrefix + r.Rent.Request, Value: wire.Marshal(r), Version: 5}
+	item := func(r rentalRecord) wire.Item {
+		return wire.Item{Key: rentalPrefix + r.Rent.Request, Value: wire.Marshal(r), Version: 5}
 	}
 	l.fleet.restore(l, []wire.Item{
-		item(hireRecord{Rent: rent("r-1-1"), Answered: true, Machines: []string{"i-1", "i-2"}}),
-		item(hireRecord{Rent: rent("r-1-2")}),
+		item(rentalRecord{Rent: rent("r-1-1"), Answered: true, Machines: []string{"i-1", "i-2"}}),
+		item(rentalRecord{Rent: rent("r-1-2")}),
 	})
 	if m := l.machines["i-2"]; m == nil || m.typ != "t" {
 		t.Error("a rented machine on record is not expected")
@@ -501,19 +501,19 @@
 		return names
 	}
 	c.out = nil
-	l.askHires()
+	l.sendRentals()
 	if got := asked(); len(got) != 1 || got[0] != "r-1-2" {
 		t.Fatalf("asked for %v, want r-1-2 alone", got)
 	}
 	for _, name := range []string{"r-2-1", "r-2-2"} {
-		l.fleet.hires[name] = &hire{rent: rent(name), version: 6, since: c.now}
+		l.fleet.rentals[name] = &rental{rent: rent(name), version: 6, since: c.now}
 	}
 	c.now = c.now.Add(time.Second)
-	l.hired(l.fleet.hires["r-1-2"], CloudReply{Status: http.StatusServiceUnavailable})
+	l.rentalAnswered(l.fleet.rentals["r-1-2"], CloudReply{Status: http.StatusServiceUnavailable})
 	c.out = nil
-	l.askHires()
-	if got := asked(); len(got) > 0 || l.fleet.hires["r-2-1"] != nil || l.fleet.hires["r-1-1"] == nil {
-		t.Errorf("asked for %v after a refusal of the same kind, left %v", got, l.fleet.hires)
+	l.sendRentals()
+	if got := asked(); len(got) > 0 || l.fleet.rentals["r-2-1"] != nil || l.fleet.rentals["r-1-1"] == nil {
+		t.Errorf("asked for %v after a refusal of the same kind, left %v", got, l.fleet.rentals)
 	}
 }
 
@@ -524,13 +524,13 @@
 	c, l, _ := leading(t)
 	c.cfg.Facts.State.TxnOps = 32
 	for i := range 100 {
-		l.orphans = append(l.orphans, fmt.Sprintf("h/r-1-%d", i))
+		l.obsoleteKeys = append(l.obsoleteKeys, fmt.Sprintf("h/r-1-%d", i))
 	}
 	for range 10 {
 		c.now = c.now.Add(time.Second)
-		l.sweep()
+		l.deleteObsolete()
 	}
-	if n := len(l.orphans); n > 0 {
+	if n := len(l.obsoleteKeys); n > 0 {
 		t.Errorf("%d of 100 records are left after ten seconds", n)
 	}
 }
@@ -578,7 +578,7 @@
 		if c.batch {
 			run("req-99", wire.KindArray, l.machines["i-1"])
 		}
-		l.gather()
+		l.consolidate()
 		stopping := 0
 		for _, m := range l.machines {
 			for _, a := range m.list {
@@ -587,7 +587,7 @@
 				}
 			}
 		}
-		if got := l.machines["i-1"].emptying; got != (c.emptied > 0) || stopping != c.emptied || l.machines["i-0"].emptying {
+		if got := l.machines["i-1"].consolidating; got != (c.emptied > 0) || stopping != c.emptied || l.machines["i-0"].consolidating {
 			t.Errorf("%s: emptying %v, %d tasks stopped, want %d", c.name, got, stopping, c.emptied)
 		}
 	}
@@ -625,7 +625,7 @@
 			resume(c.workerCalls, id, WorkerReply{ID: id}) // no answer
 		}
 	}
-	for l.since(l.elected) <= l.patience() {
+	for l.since(l.elected) <= l.suspectAfter() {
 		step()
 	}
 	if asked.releasing || unknown.releasing {
@@ -656,14 +656,14 @@
 			ms = append(ms, m)
 		}
 		l.listening, l.listened = c.now, c.now
-		c.now = c.now.Add(l.patience() + time.Second)
+		c.now = c.now.Add(l.suspectAfter() + time.Second)
 		l.authority, l.listened = c.now.Add(time.Second), c.now
 		for _, m := range ms[1:] {
 			l.apply(m, &wire.Report{Machine: m.id, Type: "t", Zone: "a", Session: 1, Seq: 2, Token: 7,
 				Tasks: []wire.Task{{ID: m.list[0].taskID(), Attempt: 1, State: wire.TaskRunning}}})
 		}
 		ms[0].unanswered = true
-		l.releaseLost()
+		l.releaseFailed()
 		if ms[0].releasing != want {
 			t.Errorf("beside %s work: released %v, want %v", priority, ms[0].releasing, want)
 		}
@@ -697,12 +697,12 @@
 	}
 	delete(l.jobs, job.ID)
 	l.order = nil
-	c.turnAway(UserRequest{Req: 1}, &job)
-	c.tellKnocks()
+	c.rejectSubmission(UserRequest{Req: 1}, &job)
+	c.sendDemandHints()
 	if n := atDoor(); n != 3 {
 		t.Errorf("%d tasks wanted for a job of 3 at the leader's own door", n)
 	}
-	c.now = c.now.Add(2 * knockFor)
+	c.now = c.now.Add(2 * demandHintLifetime)
 	if n := atDoor(); n != 0 {
 		t.Errorf("%d tasks wanted for a job that does not come again", n)
 	}
@@ -720,8 +720,8 @@
 	service := wire.Job{ID: "req-000003", Team: "red", Kind: wire.KindService, Priority: "prod", Tasks: 3, CPUs: 1}
 	l.jobs, l.order = map[string]*job{}, nil
 	j := l.addJob(array.ID, &headerRecord{Job: array, PerChunk: 10, AcceptedMS: c.now.UnixMilli()})
-	c.turnAway(UserRequest{Req: 1}, &service)
-	c.tellKnocks()
+	c.rejectSubmission(UserRequest{Req: 1}, &service)
+	c.sendDemandHints()
 	l.wantPlacement()
 	c.now = l.placeAt
 	l.place()
@@ -756,7 +756,7 @@
 	if !young.stopping || old.stopping {
 		t.Errorf("with %v s left: stopped the one of 50 s %v, the one of 5 s %v", left, young.stopping, old.stopping)
 	}
-	l.releaseLost()
+	l.releaseFailed()
 	if m.releasing {
 		t.Error("released while a task may end in time")
 	}
@@ -766,7 +766,7 @@
 		rep.Tasks = append(rep.Tasks, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskExited, Why: wire.WhyStopped})
 	}
 	l.apply(m, rep)
-	if l.releaseLost(); !m.releasing {
+	if l.releaseFailed(); !m.releasing {
 		t.Error("kept though nothing runs on it any more")
 	}
 }
@@ -852,7 +852,7 @@
 // meanwhile. Nor may counts, which never end, keep those records from being removed.
 func TestOldRentalsDoNotPassForBooting(t *testing.T) {
 	c, l, _ := leading(t)
-	l.fleet.restore(l, []wire.Item{{Key: "h/r-1-1", Version: 3, Value: wire.Marshal(hireRecord{
+	l.fleet.restore(l, []wire.Item{{Key: "h/r-1-1", Version: 3, Value: wire.Marshal(rentalRecord{
 		Rent: wire.Rent{Request: "r-1-1", Type: "t", Zone: "a", Count: 1}, Answered: true, Machines: []string{"i-9"}})}})
 	c.now = c.now.Add(config.Seconds(2*c.cfg.Facts.Cloud.ListLagS) + 2*time.Second)
 	l.unlisted("", wire.MachinePage{}, c.now)
@@ -860,7 +860,7 @@
 		t.Error("a machine of an old rental that is not listed still counts as booting")
 	}
 	l.forgetMachine("i-9")
-	l.askHires()
+	l.sendRentals()
 	for n := range 200 {
 		id := fmt.Sprintf("req-1%05d", n)
 		l.addJob(id, &headerRecord{PerChunk: 10, Job: wire.Job{ID: id, Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: 1}})
@@ -869,12 +869,12 @@
 		c.now = c.now.Add(100 * time.Millisecond)
 		l.authority = c.now.Add(time.Second)
 		for _, j := range l.order {
-			j.chunks[0].dirty, j.dirty, j.pressing, j.dirtyAt, j.write = true, true, false, c.now.Add(-time.Minute), nil
+			j.chunks[0].dirty, j.dirty, j.urgent, j.dirtyAt, j.write = true, true, false, c.now.Add(-time.Minute), nil
 		}
 		l.flush()
 	}
-	if len(l.orphans) > 0 {
-		t.Errorf("%v is never swept while there are counts to write", l.orphans)
+	if len(l.obsoleteKeys) > 0 {
+		t.Errorf("%v is never swept while there are counts to write", l.obsoleteKeys)
 	}
 }
 
@@ -919,7 +919,7 @@
 }
 
 // chain returns a leader with two jobs, of which the second needs the first.
-func chain(t *testing.T) (c *Core, l *lead, first, second *job) {
+func chain(t *testing.T) (c *Core, l *leader, first, second *job) {
 	t.Helper()
 	c, l, _ = leading(t)
 	due := 100.0
@@ -939,18 +939,18 @@
 // deadline. Its own times count from the end of what it needs.
 func TestPriorityAndDeadlinePassBack(t *testing.T) {
 	c, l, first, second := chain(t)
-	if first.terms.Rank != second.terms.Rank || first.due.within(1) != 80 || !l.held(second) {
-		t.Fatalf("rank %d, due in %v, held %v", first.terms.Rank, first.due, l.held(second))
+	if first.terms.Rank != second.terms.Rank || first.due.within(1) != 80 || !l.blocked(second) {
+		t.Fatalf("rank %d, due in %v, held %v", first.terms.Rank, first.due, l.blocked(second))
 	}
 	if ds := l.demands(); len(ds) != 2 || ds[1].Job != "req-000010" || ds[1].Rank != 1 {
 		t.Fatalf("demands %+v", ds)
 	}
 	c.now = c.now.Add(30 * time.Second)
-	c.over(first.id, finalRecord{Tasks: 1, EndedMS: c.now.UnixMilli()})
+	c.jobEnded(first.id, finalRecord{Tasks: 1, EndedMS: c.now.UnixMilli()})
 	c.headerChanged(first.id, nil)
 	c.now = c.now.Add(5 * time.Second)
-	if l.held(second) || c.now.Sub(second.ready) != 5*time.Second {
-		t.Errorf("held %v, ready since %v", l.held(second), second.ready)
+	if l.blocked(second) || c.now.Sub(second.ready) != 5*time.Second {
+		t.Errorf("held %v, ready since %v", l.blocked(second), second.ready)
 	}
 }
 
@@ -963,13 +963,13 @@
 		j.spec.Team, j.terms.Team = "red", "red"
 	}
 	second.spec.CPUs = 0.25 // less work: it would come first
-	l.dealShares()
+	l.assignGuarantees()
 	if first.terms.Borrowed {
 		t.Error("a job that waits takes the guarantee")
 	}
-	c.over(first.id, finalRecord{Tasks: 1})
-	l.sharesAt = time.Time{}
-	l.dealShares()
+	c.jobEnded(first.id, finalRecord{Tasks: 1})
+	l.guaranteesAt = time.Time{}
+	l.assignGuarantees()
 	if !first.terms.Borrowed || second.terms.Borrowed {
 		t.Errorf("beyond the guarantee: first %v, second %v", first.terms.Borrowed, second.terms.Borrowed)
 	}
@@ -982,8 +982,8 @@
 	c.out = nil
 	c.control.loaded = true
 	c.headerChanged("req-000010", nil)
-	if !l.held(second) || len(c.out) == 0 {
-		t.Fatalf("held %v, asks %v", l.held(second), c.out)
+	if !l.blocked(second) || len(c.out) == 0 {
+		t.Fatalf("held %v, asks %v", l.blocked(second), c.out)
 	}
 }
 
@@ -1080,7 +1080,7 @@
 	if a, _ := submit(first.id); a == nil || a.Status != http.StatusServiceUnavailable || a.RetryAfter == 0 {
 		t.Errorf("while an earlier version may lead: %+v", a)
 	}
-	c.control.unreached = true
+	c.control.unreachable = true
 	if a, _ := submit(first.id); a == nil || a.Status != http.StatusServiceUnavailable {
 		t.Errorf("without the state service: %+v", a)
 	}
@@ -1097,7 +1097,7 @@
 	refused := 0
 	for refused == 0 && len(spec.Needs) < 1000 {
 		id := fmt.Sprintf("req-%06d", 1000+len(spec.Needs))
-		c.over(id, finalRecord{Tasks: 1})
+		c.jobEnded(id, finalRecord{Tasks: 1})
 		spec.Needs = append(spec.Needs, id)
 		c.out = nil
 		c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
--- a/controller/core.go
+++ b/controller/core.go
@@ -17,15 +17,15 @@
 
 // Timeouts and pauses of the core's own calls.
 const (
-	userCallTimeout  = 600 * time.Millisecond
-	leadCallTimeout  = 2 * time.Second
-	cloudCallTimeout = 5 * time.Second
-	probeTimeout     = 700 * time.Millisecond
-	seekTimeout      = time.Second
-	seekPause        = 4 * time.Second
-	watchWait        = 4 * time.Second
-	retryPause       = 200 * time.Millisecond
-	tickEvery        = 250 * time.Millisecond
+	userCallTimeout    = 600 * time.Millisecond
+	leadCallTimeout    = 2 * time.Second
+	cloudCallTimeout   = 5 * time.Second
+	probeTimeout       = 700 * time.Millisecond
+	probeReportTimeout = time.Second
+	probePause         = 4 * time.Second
+	watchWait          = 4 * time.Second
+	retryPause         = 200 * time.Millisecond
+	tickEvery          = 250 * time.Millisecond
 )
 
 // Shares of the changes that the state service takes in a second. Users and the
@@ -33,10 +33,10 @@
 // so together they may ask for more than there is, and try again when refused.
 // What nobody waits for leaves room for both.
 const (
-	userWrites  = 0.8
-	leadWrites  = 0.85
-	choreWrites = 0.4
-	burstShare  = 0.4 // of a second's changes, that may be made at once
+	userShare       = 0.8
+	leaderShare     = 0.85
+	backgroundShare = 0.4
+	burstShare      = 0.4 // of a second's changes, that may be made at once
 )
 
 // clockDrift bounds how far the steady clocks of two machines drift apart.
@@ -65,20 +65,20 @@
 	measure  scheduler.Measure
 	final    finals
 	progress map[string]jobCount
-	chains   *reduction.Growing // unfinished jobs that need others, and those
-
-	announcing bool // see announce
-	refusals   int  // see paced
-	tight      bool // the state service takes changes at its coming rate
-	smaller    bool // it has refused a record for its size
-	claiming   bool
-	claimAfter time.Time
-	endAfter   time.Time
-	lead       *lead
-	promises   promises
-	relays     relays
-	hints      map[string]*mesh.Hint // by machine, as the last leader told
-	knocks     map[string]*wire.Job  // turned away, to be told to the leader
+	chains   *reduction.DynamicGraph // unfinished jobs that need others, and those
+
+	announcing    bool // see announce
+	rateRefusals  int  // see paced
+	ratesLowered  bool // the state service takes changes at its coming rate
+	valuesLowered bool // it has refused a record for its size
+	claiming      bool
+	claimAfter    time.Time
+	endAfter      time.Time
+	lead          *leader
+	promises      promises
+	relays        relays
+	hints         map[string]*mesh.Hint // by machine, as the last leader told
+	rejected      map[string]*wire.Job  // turned away, to be told to the leader
 }
 
 // timer runs a function once its time has come.
@@ -101,13 +101,13 @@
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
 		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
-		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*userWrites*share), burst),
+		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*userShare*share), burst),
 		types:       map[string]wire.MachineType{},
 		quotas:      map[string]quota{},
 		progress:    map[string]jobCount{},
-		chains:      reduction.NewGrowing(),
+		chains:      reduction.NewDynamicGraph(),
 		hints:       map[string]*mesh.Hint{},
-		knocks:      map[string]*wire.Job{},
+		rejected:    map[string]*wire.Job{},
 		// An answer that an earlier process of this controller asked for over the mesh
 		// must not be taken for one to us: a worker would get another one's commands.
 		next: rng.Uint64() >> 2,
@@ -210,7 +210,7 @@
 	if call.Op == OpTxn {
 		told := fn
 		fn = func(r StateReply) {
-			c.paced(r.Status)
+			c.observeRateLimit(r.Status)
 			told(r)
 		}
 	}
@@ -221,37 +221,37 @@
 // tightAfter is how many changes must be refused for the rate, more than are taken
 // meanwhile, before the coming rate is taken to hold. Budgets add up to more than the
 // rate, so that some are refused at any time.
-const tightAfter = 12
+const refusalsToLower = 12
 
 // paced learns from what becomes of transactions that the limits have become those
 // that are to come, which nobody announces.
-func (c *Core) paced(status int) {
+func (c *Core) observeRateLimit(status int) {
 	switch {
-	case c.tight:
+	case c.ratesLowered:
 		return
 	case status == http.StatusTooManyRequests:
-		c.refusals += 3
+		c.rateRefusals += 3
 	case status == http.StatusOK:
-		c.refusals = max(c.refusals-1, 0)
+		c.rateRefusals = max(c.rateRefusals-1, 0)
 	}
-	if c.refusals >= 3*tightAfter && c.cfg.Facts.State.Coming() != c.cfg.Facts.State.Limits {
-		c.tighten()
+	if c.rateRefusals >= 3*refusalsToLower && c.cfg.Facts.State.Coming() != c.cfg.Facts.State.Limits {
+		c.lowerRates()
 	}
 }
 
 // tighten goes over to the coming limits.
-func (c *Core) tighten() {
-	c.tight = true
+func (c *Core) lowerRates() {
+	c.ratesLowered = true
 	c.writes.SetLimitAt(c.now, c.userRate())
 	if c.lead != nil {
-		c.lead.pace()
+		c.lead.setWriteRates()
 	}
 	c.log(slog.LevelInfo, "the state service has its coming limits", "changes", c.writeRate())
 }
 
 // writeRate is how many changes a second the state service takes.
 func (c *Core) writeRate() float64 {
-	if c.tight {
+	if c.ratesLowered {
 		return c.cfg.Facts.State.Tightest().WriteRPS
 	}
 	return c.cfg.Facts.State.WriteRPS
@@ -259,7 +259,7 @@
 
 // userRate is what of that each controller spends on users.
 func (c *Core) userRate() rate.Limit {
-	return rate.Limit(c.writeRate() * userWrites / float64(len(c.cfg.Others)+1))
+	return rate.Limit(c.writeRate() * userShare / float64(len(c.cfg.Others)+1))
 }
 
 func (c *Core) cloud(call CloudCall, fn func(CloudReply)) {
@@ -286,6 +286,6 @@
 }
 
 // later refuses a request that can't be taken now, at once.
-func (c *Core) later(req uint64, why string) {
+func (c *Core) retryLater(req uint64, why string) {
 	c.reply(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: time.Second})
 }
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -38,7 +38,7 @@
 	listing   bool
 	typesAt   time.Time
 	asking    bool
-	hires     map[string]*hire
+	rentals   map[string]*rental
 	seq       int
 	refused   map[offerKey]time.Time
 	peaks     map[string]*peak
@@ -51,7 +51,7 @@
 }
 
 // hire is a rental request whose machines are not all accounted for.
-type hire struct {
+type rental struct {
 	rent     wire.Rent
 	since    time.Time
 	version  uint64 // of its record; 0: not written yet
@@ -69,27 +69,27 @@
 }
 
 func (f *fleet) init() {
-	f.hires = map[string]*hire{}
+	f.rentals = map[string]*rental{}
 	f.refused = map[offerKey]time.Time{}
 	f.peaks = map[string]*peak{}
 }
 
 // restore takes up the rentals that earlier leaders have begun. Those without an
 // answer on record are asked again: by their names they rent nothing twice.
-func (f *fleet) restore(l *lead, items []wire.Item) {
+func (f *fleet) restore(l *leader, items []wire.Item) {
 	f.calls = rate.NewLimiter(rate.Limit(l.c.cfg.Facts.Cloud.RPS*0.9), max(1, int(l.c.cfg.Facts.Cloud.RPS)))
 	for _, it := range items {
-		if rec := decode[hireRecord](it.Value); rec != nil {
-			h := &hire{rent: rec.Rent, version: it.Version, asked: true, answered: rec.Answered, machines: rec.Machines}
-			f.hires[rec.Rent.Request] = h
-			l.expect(h)
+		if rec := decode[rentalRecord](it.Value); rec != nil {
+			h := &rental{rent: rec.Rent, version: it.Version, asked: true, answered: rec.Answered, machines: rec.Machines}
+			f.rentals[rec.Rent.Request] = h
+			l.addRented(h)
 		}
 	}
 }
 
 // runFleet looks after silent machines at every tick and after the rest once a
 // second.
-func (l *lead) runFleet() {
+func (l *leader) runFleet() {
 	f := &l.fleet
 	if l.c.now.Sub(f.lookedAt) >= tickEvery {
 		f.lookedAt = l.c.now
@@ -106,17 +106,17 @@
 	}
 	l.wantPlacement()
 	l.refreshTypes()
-	l.askHires()
+	l.sendRentals()
 	l.refreshList()
 	l.returnSpare()
-	l.gather()
+	l.consolidate()
 	if len(l.c.types) > 0 && l.c.now.Before(l.authority) {
 		l.rentMore()
 	}
 }
 
 // call makes a call of the cloud if authority and the rate allow.
-func (l *lead) call(call CloudCall, fn func(CloudReply)) bool {
+func (l *leader) call(call CloudCall, fn func(CloudReply)) bool {
 	if !l.c.entitled() || !l.fleet.calls.AllowN(l.c.now, 1) {
 		return false
 	}
@@ -131,28 +131,28 @@
 // askHires sends rental requests that are recorded and not answered. One that was
 // never asked for is dropped when its like has been refused meanwhile: the calls are
 // few, and others need them.
-func (l *lead) askHires() {
+func (l *leader) sendRentals() {
 	f := &l.fleet
-	for _, name := range slices.Sorted(maps.Keys(f.hires)) {
-		h := f.hires[name]
+	for _, name := range slices.Sorted(maps.Keys(f.rentals)) {
+		h := f.rentals[name]
 		switch {
 		case h.version == 0 || h.asking:
 		case h.answered:
 			if l.accounted(h) {
-				l.dropHire(h)
+				l.dropRental(h)
 			}
 		case !h.asked && f.refused[h.offer()].After(h.since):
-			l.dropHire(h)
+			l.dropRental(h)
 		default:
-			h.asking = l.call(CloudCall{Op: CloudRent, Rent: h.rent}, func(r CloudReply) { l.hired(h, r) })
+			h.asking = l.call(CloudCall{Op: CloudRent, Rent: h.rent}, func(r CloudReply) { l.rentalAnswered(h, r) })
 			h.asked = h.asked || h.asking
 		}
 	}
 }
 
-func (h *hire) offer() offerKey { return offerKey{h.rent.Type, h.rent.Zone, h.rent.Spot} }
+func (h *rental) offer() offerKey { return offerKey{h.rent.Type, h.rent.Zone, h.rent.Spot} }
 
-func (l *lead) hired(h *hire, r CloudReply) {
+func (l *leader) rentalAnswered(h *rental, r CloudReply) {
 	h.asking = false
 	k := h.offer()
 	switch r.Status {
@@ -161,19 +161,19 @@
 		if len(h.machines) < h.rent.Count {
 			l.fleet.refused[k] = l.c.now
 		}
-		l.expect(h)
-		l.recordHire(h, func(StateReply) {})
+		l.addRented(h)
+		l.recordRental(h, func(StateReply) {})
 		l.c.log(slog.LevelInfo, "rented", "request", h.rent.Request, "type", k.typ, "zone", k.zone, "spot", k.spot, "machines", len(h.machines))
 	case http.StatusServiceUnavailable, http.StatusBadRequest:
 		l.fleet.refused[k] = l.c.now
 		l.fleet.ranAt = time.Time{} // another offer may do
 		l.c.log(slog.LevelInfo, "rental refused", "request", h.rent.Request, "type", k.typ, "zone", k.zone, "spot", k.spot, "status", r.Status)
-		l.dropHire(h)
+		l.dropRental(h)
 	}
 }
 
 // expect takes the machines of a request into the ledger.
-func (l *lead) expect(h *hire) {
+func (l *leader) addRented(h *rental) {
 	for _, id := range h.machines {
 		if _, gone := l.released[id]; gone {
 			continue
@@ -189,11 +189,11 @@
 }
 
 // recordHire writes what is known of a request, over the record that we know of.
-func (l *lead) recordHire(h *hire, done func(StateReply)) {
-	key := hirePrefix + h.rent.Request
+func (l *leader) recordRental(h *rental, done func(StateReply)) {
+	key := rentalPrefix + h.rent.Request
 	txn := wire.Txn{
-		If:   []wire.Cond{l.mine(), {Key: key, Version: h.version}},
-		Then: []wire.Change{put(key, hireRecord{h.rent, h.answered, h.machines})},
+		If:   []wire.Cond{l.leadershipCondition(), {Key: key, Version: h.version}},
+		Then: []wire.Change{put(key, rentalRecord{h.rent, h.answered, h.machines})},
 	}
 	l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(r StateReply) {
 		if l.c.lead == l {
@@ -203,7 +203,7 @@
 }
 
 // accounted tells whether every machine of a request is up or released.
-func (l *lead) accounted(h *hire) bool {
+func (l *leader) accounted(h *rental) bool {
 	for _, id := range h.machines {
 		if m := l.machines[id]; m != nil && !m.up {
 			return false
@@ -212,15 +212,15 @@
 	return true
 }
 
-func (l *lead) dropHire(h *hire) {
-	delete(l.fleet.hires, h.rent.Request)
-	l.orphans = append(l.orphans, hirePrefix+h.rent.Request)
+func (l *leader) dropRental(h *rental) {
+	delete(l.fleet.rentals, h.rent.Request)
+	l.obsoleteKeys = append(l.obsoleteKeys, rentalPrefix+h.rent.Request)
 }
 
 // rentMore rents for what has no room, and for the headroom that the aims ask for.
-func (l *lead) rentMore() {
+func (l *leader) rentMore() {
 	f := &l.fleet
-	for _, h := range f.hires {
+	for _, h := range f.rentals {
 		if !h.answered {
 			return // not answered yet: its machines are not counted
 		}
@@ -238,11 +238,11 @@
 // backlog lists the demands that wait for room which has to be rented: batch work
 // does not wait for a machine to boot where running tasks end sooner than that, and
 // leave room for what comes meanwhile.
-func (l *lead) backlog() []*scheduler.Demand {
+func (l *leader) backlog() []*scheduler.Demand {
 	used := l.teamUse()
-	ds := append(append(l.demands(), l.atDoor()...), l.soonReady()...)
+	ds := append(append(l.demands(), l.hintedDemands()...), l.soonReady()...)
 	scheduler.Order(ds)
-	ending := l.endingSoon() - l.comingSoon()
+	ending := l.expectedRelease() - l.expectedArrivals()
 	for _, d := range ds {
 		if size := d.Measure.Of(d.Each); d.Rank > 0 && !d.Service && size > 0 && ending > 0 {
 			n := min(int(ending/size), len(d.Tasks))
@@ -253,12 +253,12 @@
 		d.Gang = false // rent only what is missing
 		used[d.Team] = used[d.Team].Add(d.Each, float64(min(len(d.Tasks), d.RoomInTeam)))
 	}
-	return append(ds, l.doubtful()...)
+	return append(ds, l.replacements()...)
 }
 
 // comingSoon estimates the size of the batch work that comes before a machine rented
 // now would be up: it needs the room that comes free as much as what waits already.
-func (l *lead) comingSoon() float64 {
+func (l *leader) expectedArrivals() float64 {
 	size := 0.0
 	for _, a := range l.arrivals {
 		if p := l.fleet.peaks[a.class]; p != nil && p.spec.Kind != wire.KindService && l.c.now.Sub(a.at) < surgeWindow {
@@ -269,11 +269,11 @@
 }
 
 // shortestBoot is how many seconds any machine takes to boot at least.
-func (l *lead) shortestBoot() float64 { return l.soonestBoot(&wire.Job{}) }
+func (l *leader) shortestBoot() float64 { return l.soonestBoot(&wire.Job{}) }
 
 // endingSoon estimates the size of what running batch tasks give back before a
 // machine rented now would be up.
-func (l *lead) endingSoon() float64 {
+func (l *leader) expectedRelease() float64 {
 	boot := l.shortestBoot()
 	room := 0.0
 	for _, j := range l.order {
@@ -290,24 +290,24 @@
 }
 
 // rent records a request under a name that is never used again, then makes it.
-func (l *lead) rent(r wire.Rent) {
+func (l *leader) rent(r wire.Rent) {
 	f := &l.fleet
 	f.seq++
 	r.Request = fmt.Sprintf("r-%d-%d", l.token, f.seq)
-	h := &hire{rent: r, since: l.c.now}
-	f.hires[r.Request] = h
-	l.recordHire(h, func(reply StateReply) {
+	h := &rental{rent: r, since: l.c.now}
+	f.rentals[r.Request] = h
+	l.recordRental(h, func(reply StateReply) {
 		if reply.Status != http.StatusOK {
-			delete(f.hires, r.Request) // never asked for; a late record is asked for by the next leader
+			delete(f.rentals, r.Request) // never asked for; a late record is asked for by the next leader
 			return
 		}
 		h.version = reply.Txn.Revision
-		l.askHires()
+		l.sendRentals()
 	})
 }
 
 // offers lists what can be rented, less what was refused lately.
-func (l *lead) offers() []scheduler.Offer {
+func (l *leader) offers() []scheduler.Offer {
 	var out []scheduler.Offer
 	for _, name := range slices.Sorted(maps.Keys(l.c.types)) {
 		t := l.c.types[name]
@@ -327,7 +327,7 @@
 // headroom asks for room beyond what runs, class by class: the more, the longer
 // a machine takes to boot against what the class's aims allow, but no more than
 // may be missing before a machine that is rented now is up.
-func (l *lead) headroom() []*scheduler.Demand {
+func (l *leader) headroom() []*scheduler.Demand {
 	l.trackPeaks()
 	var ds []*scheduler.Demand
 	for _, class := range slices.Sorted(maps.Keys(l.fleet.peaks)) {
@@ -338,17 +338,17 @@
 		}
 		d := l.c.demandOf(&p.spec)
 		d.Job, d.Zone, d.OneZone, d.Spread, d.Gang = "headroom/"+class, "", false, false, false
-		d.Total, d.RoomInTeam, d.AgeS, d.Others = n, n, -1, l.otherClasses(class)
+		d.Total, d.RoomInTeam, d.AgeS, d.OtherClasses = n, n, -1, l.otherClasses(class)
 		d.Tasks = make([]int, n)
 		ds = append(ds, d)
 	}
 	return ds
 }
 
-func (l *lead) trackPeaks() {
+func (l *leader) trackPeaks() {
 	now := map[string]float64{}
 	for _, j := range l.order {
-		if j.cancelled || l.held(j) {
+		if j.cancelled || l.blocked(j) {
 			continue
 		}
 		class := j.spec.Class
@@ -377,7 +377,7 @@
 }
 
 // arrived notes a job that is ready.
-func (l *lead) arrived(j *job) {
+func (l *leader) arrived(j *job) {
 	l.arrivals = append(l.arrivals, arrival{j.spec.Class, j.spec.Tasks, j.ready})
 }
 
@@ -385,7 +385,7 @@
 // a machine boots. Jobs come one by one and bring all their tasks at once, so the
 // variance is that of the sum of their sizes: many small jobs need far less room
 // in proportion than few large ones.
-func (l *lead) surge(j *wire.Job) float64 {
+func (l *leader) surge(j *wire.Job) float64 {
 	l.arrivals = slices.DeleteFunc(l.arrivals, func(a arrival) bool { return l.c.now.Sub(a.at) > surgeWindow })
 	boot, squares := 0.0, 0.0
 	for _, t := range l.c.types {
@@ -404,7 +404,7 @@
 }
 
 // typesFor lists the machine types that a job may use.
-func (l *lead) typesFor(j *wire.Job) []wire.MachineType {
+func (l *leader) typesFor(j *wire.Job) []wire.MachineType {
 	var ts []wire.MachineType
 	for _, t := range l.c.types {
 		if len(j.Types) == 0 || slices.Contains(j.Types, t.Name) {
@@ -415,7 +415,7 @@
 }
 
 // soonestBoot is how many seconds a machine that a job may use takes to boot at least.
-func (l *lead) soonestBoot(j *wire.Job) float64 {
+func (l *leader) soonestBoot(j *wire.Job) float64 {
 	boot := math.Inf(1)
 	for _, t := range l.typesFor(j) {
 		boot = math.Min(boot, t.BootS)
@@ -425,7 +425,7 @@
 
 // headroomShare weighs boot time against the tightest aim on starting: where a
 // machine can be rented in time, no room need be kept.
-func (l *lead) headroomShare(j *wire.Job) float64 {
+func (l *leader) headroomShare(j *wire.Job) float64 {
 	boot := l.soonestBoot(j)
 	within := l.startAim(j)
 	if math.IsInf(boot, 1) || math.IsInf(within, 1) {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -22,29 +22,29 @@
 	spec      wire.Job
 	cancelled bool
 	// No user was told of the cancellation before: it was not in what the leader had seen.
-	cancelledAt time.Time
-	accepted    time.Time
-	ready       time.Time // all that it needs was done: its times count from then
-	due         deadline
-	graph       *reduction.Graph
-	state       *reduction.State
-	attempts    map[int]*attempt
-	per         int
-	chunks      []chunk
-	small       bool     // chunks are smaller than the header says, see shrink
-	larger      []string // records of the larger ones, which stay until the job is over
-	retryAt     map[int]time.Time
-	fails       map[int]int
-	avoid       map[string]bool
-	dirty       bool // chunks hold what their records don't, or the job is over
-	dirtyAt     time.Time
-	pressing    bool // its write starts tasks or tells the end; counts alone can wait
-	write       *write
-	holdUntil   time.Time
-	over        bool // the final record is written
-	terms       *scheduler.Terms
-	begun       bool // a task has run, ever
-	hurt        bool // has lost an attempt to a failure, or gave way: goes on first
+	cancelledAt    time.Time
+	accepted       time.Time
+	ready          time.Time // all that it needs was done: its times count from then
+	due            deadline
+	graph          *reduction.Graph
+	state          *reduction.State
+	attempts       map[int]*attempt
+	tasksPerRecord int
+	chunks         []chunk
+	divided        bool     // chunks are smaller than the header says, see shrink
+	undividedKeys  []string // records of the larger ones, which stay until the job is over
+	retryAt        map[int]time.Time
+	fails          map[int]int
+	avoid          map[string]bool
+	dirty          bool // chunks hold what their records don't, or the job is over
+	dirtyAt        time.Time
+	urgent         bool // its write starts tasks or tells the end; counts alone can wait
+	write          *write
+	holdUntil      time.Time
+	ended          bool // the final record is written
+	terms          *scheduler.Terms
+	begun          bool // a task has run, ever
+	disrupted      bool // has lost an attempt to a failure, or gave way: goes on first
 }
 
 // chunk is a run of tasks that share a record.
@@ -56,23 +56,23 @@
 
 // attempt is one try of a task on a machine, in force until it is proved gone.
 type attempt struct {
-	job       *job
-	task      int
-	number    uint64
-	machine   *machine
-	session   uint64 // that its run command is addressed to
-	token     uint64 // the highest that its run may have been sent with
-	recorded  bool   // the record is written: run may be sent
-	sent      bool
-	restored  bool // an earlier leader's: its run is not sent again
-	seen      bool // a report has shown it
-	running   bool
-	kept      bool // placed after waiting its turn
-	placed    time.Time
-	since     time.Time // running since
-	stopping  bool
-	stoppedAt time.Time
-	grace     float64
+	job         *job
+	task        int
+	number      uint64
+	machine     *machine
+	session     uint64 // that its run command is addressed to
+	token       uint64 // the highest that its run may have been sent with
+	recorded    bool   // the record is written: run may be sent
+	sent        bool
+	restored    bool // an earlier leader's: its run is not sent again
+	seen        bool // a report has shown it
+	running     bool
+	placedByAge bool // placed after waiting its turn
+	placed      time.Time
+	since       time.Time // running since
+	stopping    bool
+	stoppedAt   time.Time
+	grace       float64
 }
 
 // write is one write of a job's records, sent again unchanged while in doubt.
@@ -107,7 +107,7 @@
 
 // rebuild makes the leader's state from the records: what was running is
 // pending again, but stays off the frontier until its attempt is proved gone.
-func (l *lead) rebuild(tasks, hires []wire.Item) {
+func (l *leader) rebuild(tasks, hires []wire.Item) {
 	c := l.c
 	for id, h := range c.control.headers {
 		l.addJob(id, h)
@@ -116,11 +116,11 @@
 		id, n, small, ok := splitChunk(it.Key)
 		rec := decode[taskRecord](it.Value)
 		j := l.jobs[id]
-		if j != nil && small && !j.small {
-			l.shrink(j) // the larger records come first, by their names
+		if j != nil && small && !j.divided {
+			l.divide(j) // the larger records come first, by their names
 		}
-		if !ok || rec == nil || j == nil || small != j.small || n >= len(j.chunks) {
-			l.orphans = append(l.orphans, it.Key)
+		if !ok || rec == nil || j == nil || small != j.divided || n >= len(j.chunks) {
+			l.obsoleteKeys = append(l.obsoleteKeys, it.Key)
 			continue
 		}
 		l.restore(j, n, rec, it.Version)
@@ -134,23 +134,23 @@
 	}
 	l.fleet.restore(l, hires)
 	l.recovered = true
-	l.askEnds()
+	l.fetchEnds()
 	c.log(slog.LevelInfo, "recovered", "token", l.token, "jobs", len(l.jobs), "machines", len(l.machines),
 		"after", c.now.Sub(l.elected))
 	for _, id := range slices.Sorted(maps.Keys(c.hints)) {
 		if m := l.machines[id]; (m == nil || !m.up) && c.hints[id].Addr != "" {
-			l.seek(id, c.hints[id].Addr)
+			l.probe(id, c.hints[id].Addr)
 		}
 	}
 	l.wantPlacement()
 }
 
-func (l *lead) restore(j *job, n int, rec *taskRecord, version uint64) {
-	if j.small { // it stands for its tasks instead of what a larger record says of them
-		for t := n * j.per; t < min((n+1)*j.per, j.spec.Tasks); t++ {
+func (l *leader) restore(j *job, n int, rec *taskRecord, version uint64) {
+	if j.divided { // it stands for its tasks instead of what a larger record says of them
+		for t := n * j.tasksPerRecord; t < min((n+1)*j.tasksPerRecord, j.spec.Tasks); t++ {
 			if a := j.attempts[t]; a != nil {
 				delete(j.attempts, t)
-				a.machine.drop(a)
+				a.machine.remove(a)
 			}
 			j.state.Accumulate(t, reduction.Reset)
 		}
@@ -171,17 +171,17 @@
 			token: l.token - 1, recorded: true, sent: true, restored: true, placed: l.elected}
 		m.zone = p.Zone
 		j.attempts[p.Task] = a
-		m.force(a)
+		m.add(a)
 		j.state.Start(p.Task)
 	}
 }
 
-func (l *lead) addJob(id string, h *headerRecord) *job {
+func (l *leader) addJob(id string, h *headerRecord) *job {
 	per := max(1, h.PerChunk)
 	g := reduction.Independent(h.Job.Tasks)
 	j := &job{
 		id: id, spec: h.Job, accepted: time.UnixMilli(h.AcceptedMS), ready: time.UnixMilli(h.AcceptedMS),
-		graph: g, state: reduction.NewState(g), attempts: map[int]*attempt{}, per: per,
+		graph: g, state: reduction.NewState(g), attempts: map[int]*attempt{}, tasksPerRecord: per,
 		chunks:  make([]chunk, (h.Job.Tasks+per-1)/per),
 		retryAt: map[int]time.Time{}, fails: map[int]int{}, avoid: map[string]bool{},
 	}
@@ -190,15 +190,15 @@
 	if j.spec.DeadlineS != nil {
 		j.due = deadline{last: &j.spec, from: j.accepted}
 	}
-	l.sharesAt = time.Time{}
+	l.guaranteesAt = time.Time{}
 	l.jobs[id] = j
 	for _, s := range l.c.chains.Successors(id) { // they may be known first
 		if later := l.jobs[s]; later != nil {
-			l.passBack(later)
+			l.inheritUrgency(later)
 		}
 	}
-	l.passBack(j)
-	if !l.held(j) {
+	l.inheritUrgency(j)
+	if !l.blocked(j) {
 		l.becameReady(j)
 	}
 	at, _ := slices.BinarySearchFunc(l.order, j, func(a, b *job) int {
@@ -212,7 +212,7 @@
 }
 
 // header takes in a change of a job's header.
-func (l *lead) header(id string, h *headerRecord) {
+func (l *leader) header(id string, h *headerRecord) {
 	j := l.jobs[id]
 	switch {
 	case h == nil:
@@ -231,9 +231,9 @@
 }
 
 // cancel counts every unfinished task as failed and stops what is in force.
-func (l *lead) cancel(j *job) {
+func (l *leader) cancel(j *job) {
 	if !j.cancelled {
-		j.cancelled, j.cancelledAt = true, l.seen()
+		j.cancelled, j.cancelledAt = true, l.headersKnownUntil()
 	}
 	for t := range j.spec.Tasks {
 		j.state.Accumulate(t, reduction.Cancelled)
@@ -253,7 +253,7 @@
 }
 
 func (j *job) touch(task int, now time.Time) {
-	j.chunks[task/j.per].dirty = true
+	j.chunks[task/j.tasksPerRecord].dirty = true
 	j.mark(now)
 }
 
@@ -264,16 +264,16 @@
 }
 
 // gone takes an attempt out of force; the caller has proof.
-func (l *lead) gone(a *attempt, o reduction.Outcome, why string) {
+func (l *leader) gone(a *attempt, o reduction.Outcome, why string) {
 	j := a.job
 	if j.attempts[a.task] != a {
 		return
 	}
 	delete(j.attempts, a.task)
-	a.machine.drop(a)
-	j.hurt = j.hurt || a.seen && o == reduction.Reset
+	a.machine.remove(a)
+	j.disrupted = j.disrupted || a.seen && o == reduction.Reset
 	j.state.Accumulate(a.task, o)
-	if !j.over {
+	if !j.ended {
 		j.touch(a.task, l.c.now)
 	}
 	level := slog.LevelDebug
@@ -286,7 +286,7 @@
 }
 
 // finish counts a reported finish.
-func (l *lead) finish(j *job, task int) {
+func (l *leader) finish(j *job, task int) {
 	if j.state.Status(task) == reduction.Completed || j.cancelled {
 		return
 	}
@@ -300,13 +300,13 @@
 
 // settle classifies a job; when nothing is pending, running or in force, its
 // final record is due.
-func (l *lead) settle(j *job) {
-	if j.over || len(j.attempts) > 0 {
+func (l *leader) settle(j *job) {
+	if j.ended || len(j.attempts) > 0 {
 		return
 	}
 	if j.state.Count(reduction.Pending) == 0 && j.state.Count(reduction.Running) == 0 {
 		j.mark(l.c.now)
-		j.pressing = true
+		j.urgent = true
 	}
 }
 
@@ -316,7 +316,7 @@
 
 // flush writes what is dirty, oldest first: one conditional write per job and
 // round, under the budget.
-func (l *lead) flush() {
+func (l *leader) flush() {
 	if !l.c.now.Before(l.authority) {
 		return // under promises alone nothing can be written
 	}
@@ -325,13 +325,13 @@
 	}
 	var due []*job
 	for _, j := range l.order {
-		if j.dirty && j.write == nil && !l.c.now.Before(j.holdUntil) && (j.pressing || l.c.now.Sub(j.dirtyAt) >= countsWait) {
+		if j.dirty && j.write == nil && !l.c.now.Before(j.holdUntil) && (j.urgent || l.c.now.Sub(j.dirtyAt) >= countsWait) {
 			due = append(due, j)
 		}
 	}
 	slices.SortStableFunc(due, func(a, b *job) int {
-		if a.pressing != b.pressing {
-			if a.pressing {
+		if a.urgent != b.urgent {
+			if a.urgent {
 				return -1
 			}
 			return 1
@@ -340,11 +340,11 @@
 	})
 	swept := false
 	for _, j := range due {
-		if !j.pressing && !swept { // counts never end: what comes after them would never be swept
-			l.sweep()
+		if !j.urgent && !swept { // counts never end: what comes after them would never be swept
+			l.deleteObsolete()
 			swept = true
 		}
-		if !l.mayWrite(1, j.pressing) { // before anything is encoded in vain
+		if !l.budgetAllows(1, j.urgent) { // before anything is encoded in vain
 			l.pauseWrites(20 * time.Millisecond)
 			return
 		}
@@ -353,47 +353,47 @@
 			continue
 		}
 		n := min(len(w.txn.Then), l.writes.Burst())
-		if !l.mayWrite(n, j.pressing) {
+		if !l.budgetAllows(n, j.urgent) {
 			j.undo(w) // what compose took must stay dirty, or it is never written
 			l.pauseWrites(20 * time.Millisecond)
 			return
 		}
-		l.countWrites(n, j.pressing)
-		j.pressing = false
+		l.spendBudget(n, j.urgent)
+		j.urgent = false
 		j.write = w
 		l.send(j)
 	}
 	if !swept {
-		l.sweep()
+		l.deleteObsolete()
 	}
 }
 
 // mayWrite tells whether the budget has n changes left.
-func (l *lead) mayWrite(n int, pressing bool) bool {
+func (l *leader) budgetAllows(n int, pressing bool) bool {
 	has := func(b *rate.Limiter) bool { return b.TokensAt(l.c.now) >= float64(n) }
-	return has(l.writes) && (pressing || has(l.chores))
+	return has(l.writes) && (pressing || has(l.backgroundWrites))
 }
 
-func (l *lead) countWrites(n int, pressing bool) {
+func (l *leader) spendBudget(n int, pressing bool) {
 	l.writes.AllowN(l.c.now, n)
 	if !pressing {
-		l.chores.AllowN(l.c.now, n)
+		l.backgroundWrites.AllowN(l.c.now, n)
 	}
 }
 
 // pauseWrites holds all writes back for a moment.
-func (l *lead) pauseWrites(pause time.Duration) {
+func (l *leader) pauseWrites(pause time.Duration) {
 	l.flushAt = l.c.now.Add(pause)
 	l.c.after(pause, func() {})
 }
 
 // compose makes the write that is due for a job; nil: nothing is.
-func (l *lead) compose(j *job) *write {
-	if !j.small && j.per > l.perChunk() && (l.c.allRun(firstVersionWithChains) || l.c.smaller) {
-		l.shrink(j)
+func (l *leader) compose(j *job) *write {
+	if !j.divided && j.tasksPerRecord > l.tasksPerRecord() && (l.c.allRun(firstVersionWithChains) || l.c.valuesLowered) {
+		l.divide(j)
 	}
 	w := &write{id: l.c.rng.Uint64() >> 1} // no other leader's write may look like ours
-	w.txn.If = []wire.Cond{l.mine(), {Key: headerKey(j.id), Version: l.c.control.versions[headerKey(j.id)]}}
+	w.txn.If = []wire.Cond{l.leadershipCondition(), {Key: headerKey(j.id), Version: l.c.control.versions[headerKey(j.id)]}}
 	settled, _ := reduction.Classify(j.graph, j.state)
 	switch {
 	case settled == reduction.Settled && len(j.attempts) == 0 && (!j.cancelled || len(l.c.chains.Successors(j.id)) == 0):
@@ -426,17 +426,17 @@
 }
 
 // composeFinal moves the job from its header to its final record.
-func (l *lead) composeFinal(j *job, w *write) {
+func (l *leader) composeFinal(j *job, w *write) {
 	w.final = &finalRecord{Cancelled: j.cancelled, Tasks: j.spec.Tasks, EndedMS: l.c.now.UnixMilli()}
 	w.txn.Then = []wire.Change{put(finalKey(j.id), *w.final), {Delete: headerKey(j.id)}}
 }
 
 // perChunk is how many tasks go into a record now.
-func (l *lead) perChunk() int { return perChunk(l.c.cfg.Facts.State.Tightest().ValueKB) }
+func (l *leader) tasksPerRecord() int { return tasksPerRecord(l.c.cfg.Facts.State.Tightest().ValueKB) }
 
 func (j *job) chunkKey(n int) string {
-	if j.small {
-		return smallKey(j.id, n)
+	if j.divided {
+		return dividedChunkKey(j.id, n)
 	}
 	return chunkKey(j.id, n)
 }
@@ -446,29 +446,29 @@
 // now. The larger records stay as they are, and a small one, once it is written, stands
 // for its tasks instead. No earlier version could read this, so it waits until none can
 // come back.
-func (l *lead) shrink(j *job) {
-	per := l.perChunk()
+func (l *leader) divide(j *job) {
+	per := l.tasksPerRecord()
 	chunks := make([]chunk, (j.spec.Tasks+per-1)/per)
 	for n := range chunks {
 		for t := n * per; t < min((n+1)*per, j.spec.Tasks); t++ {
-			of := j.chunks[t/j.per]
+			of := j.chunks[t/j.tasksPerRecord]
 			chunks[n].next = max(chunks[n].next, of.next)
 			chunks[n].dirty = chunks[n].dirty || of.dirty
 		}
 	}
 	for n := range j.chunks {
 		if j.chunks[n].version > 0 {
-			j.larger = append(j.larger, chunkKey(j.id, n))
+			j.undividedKeys = append(j.undividedKeys, chunkKey(j.id, n))
 		}
 	}
-	j.per, j.chunks, j.small = per, chunks, true
+	j.tasksPerRecord, j.chunks, j.divided = per, chunks, true
 }
 
 // chunkRecord encodes chunk n and lists its attempts that are not recorded yet.
-func (l *lead) chunkRecord(j *job, n int, id uint64) (taskRecord, []*attempt) {
+func (l *leader) chunkRecord(j *job, n int, id uint64) (taskRecord, []*attempt) {
 	rec := taskRecord{Write: id, Next: j.chunks[n].next}
 	var fresh []*attempt
-	for t := n * j.per; t < min((n+1)*j.per, j.spec.Tasks); t++ {
+	for t := n * j.tasksPerRecord; t < min((n+1)*j.tasksPerRecord, j.spec.Tasks); t++ {
 		if j.state.Status(t) == reduction.Completed {
 			if k := len(rec.Done); k > 0 && rec.Done[k-1][1] == t-1 {
 				rec.Done[k-1][1] = t
@@ -488,7 +488,7 @@
 
 // send sends a job's write. While it is in doubt it is sent again unchanged: of
 // two copies with the same conditions at most one is applied.
-func (l *lead) send(j *job) {
+func (l *leader) send(j *job) {
 	c, w := l.c, j.write
 	c.state(StateCall{Op: OpTxn, Txn: w.txn, Timeout: leadCallTimeout}, func(r StateReply) {
 		if c.lead != l || j.write != w {
@@ -503,7 +503,7 @@
 			// Too large: the coming limits hold, so no earlier version can come back, and
 			// no copy of it is carried out any more. One that was may be on record.
 			c.log(slog.LevelInfo, "write refused for its size", "job", j.id, "error", r.Txn.Error)
-			c.smaller = true
+			c.valuesLowered = true
 			l.reread(j)
 		case r.Status == 0 || w.doubt:
 			w.doubt = true
@@ -517,18 +517,18 @@
 	})
 }
 
-func (l *lead) resend(j *job, w *write) {
+func (l *leader) resend(j *job, w *write) {
 	if l.c.lead == l && j.write == w {
 		l.send(j)
 	}
 }
 
 // confirm takes in that a job's write was applied.
-func (l *lead) confirm(j *job, revision uint64) {
+func (l *leader) confirm(j *job, revision uint64) {
 	w := j.write
 	j.write = nil
 	if w.final != nil {
-		l.forgetJob(j, *w.final)
+		l.removeJob(j, *w.final)
 		return
 	}
 	clean := true
@@ -557,18 +557,18 @@
 	}
 }
 
-func (l *lead) forgetJob(j *job, f finalRecord) {
-	j.over = true
+func (l *leader) removeJob(j *job, f finalRecord) {
+	j.ended = true
 	delete(l.jobs, j.id)
-	l.orphans = append(l.orphans, j.larger...) // nobody waits for their end
+	l.obsoleteKeys = append(l.obsoleteKeys, j.undividedKeys...) // nobody waits for their end
 	for n := range j.chunks {
 		if j.chunks[n].version > 0 {
-			l.orphans = append(l.orphans, j.chunkKey(n))
+			l.obsoleteKeys = append(l.obsoleteKeys, j.chunkKey(n))
 		}
 	}
 	l.order = slices.DeleteFunc(l.order, func(o *job) bool { return o == j })
-	l.c.over(j.id, f)
-	delete(l.told, j.id)
+	l.c.jobEnded(j.id, f)
+	delete(l.progressTold, j.id)
 	if f.Cancelled {
 		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "cancelled")
 	} else {
@@ -582,11 +582,11 @@
 		j.chunks[n].dirty = true
 	}
 	j.dirty = true
-	j.pressing = j.pressing || len(w.attempts) > 0 || w.final != nil
+	j.urgent = j.urgent || len(w.attempts) > 0 || w.final != nil
 }
 
 // discard gives up a write that did not run; what it held is dirty again.
-func (l *lead) discard(j *job) {
+func (l *leader) discard(j *job) {
 	j.undo(j.write)
 	j.write = nil
 	j.holdUntil = l.c.now.Add(retryPause / 2)
@@ -599,7 +599,7 @@
 
 // reread settles a write that a condition failed: either an earlier copy of it
 // was applied, or the records have changed under it.
-func (l *lead) reread(j *job) {
+func (l *leader) reread(j *job) {
 	c, w := l.c, j.write
 	again := func() {
 		if c.lead == l && j.write == w {
@@ -627,7 +627,7 @@
 	})
 }
 
-func (l *lead) resolve(j *job, items []wire.Item) {
+func (l *leader) resolve(j *job, items []wire.Item) {
 	w := j.write
 	if w.final != nil && l.c.control.headers[j.id] == nil {
 		l.confirm(j, 0)
@@ -636,7 +636,7 @@
 	for _, it := range items {
 		_, n, small, ok := splitChunk(it.Key)
 		rec := decode[taskRecord](it.Value)
-		if !ok || rec == nil || small != j.small || n >= len(j.chunks) {
+		if !ok || rec == nil || small != j.divided || n >= len(j.chunks) {
 			continue
 		}
 		if rec.Write == w.id && slices.Contains(w.chunks, n) {
@@ -648,24 +648,24 @@
 }
 
 // sweep removes task records whose job is over, a transaction at a time.
-func (l *lead) sweep() {
+func (l *leader) deleteObsolete() {
 	// As many as there is budget for: more than a burst would never be allowed, and
 	// none of them ever removed.
-	left := min(l.writes.TokensAt(l.c.now), l.chores.TokensAt(l.c.now))
-	n := min(len(l.orphans), l.c.cfg.Facts.State.Tightest().TxnOps, int(left))
+	left := min(l.writes.TokensAt(l.c.now), l.backgroundWrites.TokensAt(l.c.now))
+	n := min(len(l.obsoleteKeys), l.c.cfg.Facts.State.Tightest().TxnOps, int(left))
 	if n <= 0 {
 		return
 	}
-	l.countWrites(n, false)
-	batch := l.orphans[:n]
-	l.orphans = l.orphans[n:]
-	txn := wire.Txn{If: []wire.Cond{l.mine()}}
+	l.spendBudget(n, false)
+	batch := l.obsoleteKeys[:n]
+	l.obsoleteKeys = l.obsoleteKeys[n:]
+	txn := wire.Txn{If: []wire.Cond{l.leadershipCondition()}}
 	for _, key := range batch {
 		txn.Then = append(txn.Then, wire.Change{Delete: key})
 	}
 	l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(r StateReply) {
 		if l.c.lead == l && r.Status != http.StatusOK && r.Status != http.StatusConflict {
-			l.orphans = append(l.orphans, batch...)
+			l.obsoleteKeys = append(l.obsoleteKeys, batch...)
 		}
 	})
 }
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -13,54 +13,54 @@
 
 // lead is what a controller knows and does as leader; it goes when another one
 // leads. Authority may lapse and come back meanwhile (see entitled).
-type lead struct {
-	c         *Core
-	token     uint64
-	first     uint64 // the token of our election
-	version   uint64 // of the leader key: the condition of every write
-	lease     uint64
-	elected   time.Time
-	renewed   time.Time // when the last renewal that succeeded was sent
-	authority time.Time // until when the state service's lease is ours for sure
-	heard     time.Time // see seen
-	recovered bool
+type leader struct {
+	c                    *Core
+	token                uint64
+	electedToken         uint64 // the token of our election
+	version              uint64 // of the leader key: the condition of every write
+	lease                uint64
+	elected              time.Time
+	renewed              time.Time // when the last renewal that succeeded was sent
+	authority            time.Time // until when the state service's lease is ours for sure
+	headersPromisedUntil time.Time // see seen
+	recovered            bool
 
-	jobs       map[string]*job
-	order      []*job // by acceptance
-	machines   map[string]*machine
-	fleetOrder []*machine // the same by name
-	toSend     []*machine // that commands may wait for
-	provedAt   time.Time
-	gatheredAt time.Time           // see gather
-	listening  time.Time           // without a pause since, see listen
-	listened   time.Time           // when the machines were looked at last
-	scratch    []scheduler.Machine // reused by every view
-	sharesAt   time.Time           // see dealShares
-	flushAt    time.Time           // no write before: the budget is used up
-	released   map[string]time.Time
-	orphans    []string // task records whose job is over
-	writes     *rate.Limiter
-	chores     *rate.Limiter // besides, for writes that nobody waits for
-	placeAt    time.Time     // when the next round of placement is due; zero: none
-	bumpedAt   time.Time
-	bumping    bool
-	sought     map[string]time.Time // machines asked for a report, and when
-	cut        map[string]bool      // see cutZones
-	cutAt      map[string]time.Time // when each was seen last
+	jobs             map[string]*job
+	order            []*job // by acceptance
+	machines         map[string]*machine
+	fleetOrder       []*machine // the same by name
+	toSend           []*machine // that commands may wait for
+	proofsAt         time.Time
+	consolidatedAt   time.Time           // see gather
+	listening        time.Time           // without a pause since, see listen
+	listened         time.Time           // when the machines were looked at last
+	scratch          []scheduler.Machine // reused by every view
+	guaranteesAt     time.Time           // see dealShares
+	flushAt          time.Time           // no write before: the budget is used up
+	released         map[string]time.Time
+	obsoleteKeys     []string // task records whose job is over
+	writes           *rate.Limiter
+	backgroundWrites *rate.Limiter // besides, for writes that nobody waits for
+	placeAt          time.Time     // when the next round of placement is due; zero: none
+	tokenRaisedAt    time.Time
+	raisingToken     bool
+	probedAt         map[string]time.Time // machines asked for a report, and when
+	partitioned      map[string]bool      // see cutZones
+	partitionedAt    map[string]time.Time // when each was seen last
 
-	arrivals []arrival
-	door     map[string]knock
-	fleet    fleet
-	talkedAt time.Time
-	hintedAt time.Time
-	told     map[string]jobCount
+	arrivals     []arrival
+	demandHints  map[string]demandHint
+	fleet        fleet
+	progressAt   time.Time
+	hintedAt     time.Time
+	progressTold map[string]jobCount
 }
 
 const (
-	authorityMargin = 50 * time.Millisecond
-	bumpPause       = 8 * time.Second
-	bumpForget      = 30 * time.Second
-	bumpCancelled   = 4 * time.Second
+	authorityMargin      = 50 * time.Millisecond
+	raisePause           = 8 * time.Second
+	raiseToForgetAfter   = 30 * time.Second
+	raiseForStoppedAfter = 4 * time.Second
 )
 
 // entitled tells whether this controller may act for the controllers now. It is
@@ -76,10 +76,10 @@
 		return time.Time{}
 	}
 	until := c.lead.authority
-	if c.promises.ride.After(until) {
-		until = c.promises.ride
+	if c.promises.promisedUntil.After(until) {
+		until = c.promises.promisedUntil
 	}
-	if blind := c.lead.blind(); blind.Before(until) {
+	if blind := c.lead.renewalDeadline(); blind.Before(until) {
 		until = blind
 	}
 	return until
@@ -155,14 +155,14 @@
 
 func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
 	burst := max(2, int(c.cfg.Facts.State.Tightest().WriteRPS*burstShare))
-	l := &lead{
-		c: c, token: token, first: token, version: version, lease: lease, elected: c.now,
+	l := &leader{
+		c: c, token: token, electedToken: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
-		writes: rate.NewLimiter(0, burst),
-		chores: rate.NewLimiter(0, burst),
-		sought: map[string]time.Time{}, told: map[string]jobCount{}, door: map[string]knock{}, bumpedAt: c.now, cutAt: map[string]time.Time{},
+		writes:           rate.NewLimiter(0, burst),
+		backgroundWrites: rate.NewLimiter(0, burst),
+		probedAt:         map[string]time.Time{}, progressTold: map[string]jobCount{}, demandHints: map[string]demandHint{}, tokenRaisedAt: c.now, partitionedAt: map[string]time.Time{},
 	}
-	l.pace()
+	l.setWriteRates()
 	l.fleet.init()
 	c.lead = l
 	l.extend(sent)
@@ -172,15 +172,15 @@
 }
 
 // pace spends shares of the changes that the state service takes in a second.
-func (l *lead) pace() {
+func (l *leader) setWriteRates() {
 	changes := rate.Limit(l.c.writeRate())
-	l.writes.SetLimitAt(l.c.now, changes*leadWrites)
-	l.chores.SetLimitAt(l.c.now, changes*choreWrites)
+	l.writes.SetLimitAt(l.c.now, changes*leaderShare)
+	l.backgroundWrites.SetLimitAt(l.c.now, changes*backgroundShare)
 }
 
 // extend counts the authority from before the renewal was sent, less what the
 // clocks may drift apart.
-func (l *lead) extend(sent time.Time) {
+func (l *leader) extend(sent time.Time) {
 	life := l.c.op.LeaderLifetime()
 	until := sent.Add(life - time.Duration(float64(life)*clockDrift) - authorityMargin)
 	if until.After(l.authority) {
@@ -188,22 +188,22 @@
 	}
 }
 
-func (l *lead) renewLater() {
-	every := min(l.c.op.LeaderLifetime(), l.c.blindFor()) / 4
+func (l *leader) renewLater() {
+	every := min(l.c.op.LeaderLifetime(), l.c.cancellationWindow()) / 4
 	l.c.after(every, func() {
 		if l.c.lead != l {
 			return
 		}
 		l.renew()
 		if l.c.now.Sub(l.c.control.read) >= every {
-			l.c.reach(func(bool) {}) // see blind
+			l.c.syncAlways(func(bool) {}) // see blind
 		}
 		l.askPromises()
 		l.renewLater()
 	})
 }
 
-func (l *lead) renew() {
+func (l *leader) renew() {
 	c, sent := l.c, l.c.now
 	c.state(StateCall{Op: OpTouch, Lease: l.lease, Timeout: c.op.LeaderLifetime()}, func(r StateReply) {
 		if c.lead != l {
@@ -212,7 +212,7 @@
 		switch r.Status {
 		case http.StatusOK:
 			l.extend(sent)
-			l.rideOver()
+			l.stateServiceBack()
 		case http.StatusNotFound:
 			c.stepDown("lease ended")
 		}
@@ -222,7 +222,7 @@
 func (c *Core) stepDown(why string) {
 	c.log(slog.LevelInfo, "no longer leading", "token", c.lead.token, "why", why)
 	c.lead = nil
-	c.promises.ride, c.promises.riding, c.promises.asks = time.Time{}, false, nil
+	c.promises.promisedUntil, c.promises.onPromises, c.promises.asks = time.Time{}, false, nil
 	c.claimAfter = c.now
 }
 
@@ -245,19 +245,21 @@
 }
 
 // mine is the condition that this controller still leads.
-func (l *lead) mine() wire.Cond { return wire.Cond{Key: leaderKey, Version: l.version} }
+func (l *leader) leadershipCondition() wire.Cond {
+	return wire.Cond{Key: leaderKey, Version: l.version}
+}
 
 // raiseToken fences all commands sent so far: once a worker has seen the new
 // token, no earlier copy of a command can run there any more.
-func (l *lead) raiseToken(why string) {
-	if l.bumping || l.c.now.Sub(l.bumpedAt) < bumpPause {
+func (l *leader) raiseToken(why string) {
+	if l.raisingToken || l.c.now.Sub(l.tokenRaisedAt) < raisePause {
 		return
 	}
-	l.bumping = true
-	l.bumpedAt = l.c.now
+	l.raisingToken = true
+	l.tokenRaisedAt = l.c.now
 	c := l.c
 	txn := wire.Txn{
-		If:   []wire.Cond{l.mine(), {Key: tokenKey, Version: c.control.versions[tokenKey]}},
+		If:   []wire.Cond{l.leadershipCondition(), {Key: tokenKey, Version: c.control.versions[tokenKey]}},
 		Then: []wire.Change{put(tokenKey, tokenRecord{l.token + 1})},
 	}
 	c.log(slog.LevelDebug, "raising token", "token", l.token+1, "why", why)
@@ -265,7 +267,7 @@
 		if c.lead != l {
 			return
 		}
-		l.bumping = false
+		l.raisingToken = false
 		if r.Status == http.StatusOK {
 			c.written(wire.Event{Put: tokenKey, Value: txn.Then[0].Value, Version: r.Txn.Revision})
 		}
@@ -275,7 +277,7 @@
 // readRecords reads what the earlier leader left: first the headers, as new as our
 // election, then rentals and task records, which only we write now. It begins
 // again until all is read.
-func (l *lead) readRecords() {
+func (l *leader) readRecords() {
 	c := l.c
 	again := func() {
 		c.after(retryPause, func() {
@@ -301,7 +303,7 @@
 		case !ok:
 			again()
 		default:
-			read(hirePrefix, func(hires []wire.Item) {
+			read(rentalPrefix, func(hires []wire.Item) {
 				read(taskPrefix, func(tasks []wire.Item) { l.rebuild(tasks, hires) })
 			})
 		}
@@ -309,15 +311,15 @@
 }
 
 // run is the leader's part of every step.
-func (l *lead) run() {
+func (l *leader) run() {
 	if !l.recovered {
 		return
 	}
-	l.listen()
-	l.prove()
+	l.noteListening()
+	l.proveGone()
 	l.place()
 	l.flush()
 	l.sendCommands()
 	l.runFleet()
-	l.talk()
+	l.broadcastProgress()
 }
--- a/controller/listing.go
+++ b/controller/listing.go
@@ -11,7 +11,7 @@
 )
 
 // refreshTypes learns the machine types and hands them to the other controllers.
-func (l *lead) refreshTypes() {
+func (l *leader) refreshTypes() {
 	f := &l.fleet
 	if f.asking || !f.typesAt.IsZero() && l.c.now.Sub(f.typesAt) < typesEvery {
 		return
@@ -26,7 +26,7 @@
 		l.c.setTypes(r.Types.Types)
 		l.wantPlacement()
 		if first || l.c.control.versions[typesKey] == 0 {
-			txn := wire.Txn{If: []wire.Cond{l.mine()}, Then: []wire.Change{put(typesKey, r.Types)}}
+			txn := wire.Txn{If: []wire.Cond{l.leadershipCondition()}, Then: []wire.Change{put(typesKey, r.Types)}}
 			l.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(StateReply) {})
 		}
 	})
@@ -34,7 +34,7 @@
 
 // refreshList reads the cloud's list. It is late and may go back: it only adds
 // machines that we don't know and shows failed ones; it never proves one gone.
-func (l *lead) refreshList() {
+func (l *leader) refreshList() {
 	f := &l.fleet
 	every := config.Seconds(math.Max(3, l.c.cfg.Facts.Cloud.ListLagS/2))
 	if f.listing || l.c.now.Sub(f.listedAt) < every {
@@ -44,7 +44,7 @@
 	l.listPage("")
 }
 
-func (l *lead) listPage(after string) {
+func (l *leader) listPage(after string) {
 	f, asked := &l.fleet, l.c.now
 	f.listing = l.call(CloudCall{Op: CloudList, After: after}, func(r CloudReply) {
 		f.listing = false
@@ -66,7 +66,7 @@
 // rented longer ago than that, and is not listed, is gone. Its silence would tell that
 // only after a report's time; and a new leader, who finds it in the record of a rental
 // of long ago, would take it for one that boots. It is no proof: it is released.
-func (l *lead) unlisted(after string, page wire.MachinePage, asked time.Time) {
+func (l *leader) unlisted(after string, page wire.MachinePage, asked time.Time) {
 	there := map[string]bool{}
 	last := after
 	for _, it := range page.Machines {
@@ -80,7 +80,7 @@
 	}
 }
 
-func (l *lead) listed(it wire.Machine) {
+func (l *leader) listed(it wire.Machine) {
 	if at, ok := l.released[it.ID]; ok {
 		// Still listed long after its release: it came up late, or the release was lost.
 		if l.c.now.Sub(at) > 4*config.Seconds(l.c.cfg.Facts.Cloud.ListLagS)+30*time.Second {
@@ -98,12 +98,12 @@
 		m.listed = l.c.now
 	}
 	if !m.up && it.State == wire.MachineRunning && it.Addr != "" && m.addr != it.Addr {
-		l.seek(it.ID, it.Addr) // once; what has died does not answer
+		l.probe(it.ID, it.Addr) // once; what has died does not answer
 	}
 	if !m.up {
 		m.typ, m.zone, m.spot, m.addr = it.Type, it.Zone, it.Spot, it.Addr
 	}
-	if it.State == wire.MachineFailed && (!m.up || l.silent(m)) {
+	if it.State == wire.MachineFailed && (!m.up || l.unresponsive(m)) {
 		l.release(m, "failed")
 	}
 }
--- a/controller/machines.go
+++ b/controller/machines.go
@@ -15,7 +15,7 @@
 )
 
 // proveEvery is how often time is asked for proofs.
-const proveEvery = 100 * time.Millisecond
+const proofInterval = 100 * time.Millisecond
 
 // taskKey names one attempt of one task.
 type taskKey struct {
@@ -41,54 +41,54 @@
 	notice              bool      // the cloud will take it away
 	listed              time.Time // since when the cloud's list must show it; zero: not known
 	releasing           bool
-	emptying            bool      // its replicas move elsewhere, it takes nothing
-	keptAt              time.Time // when there was no room elsewhere for its replicas
+	consolidating       bool      // its replicas move elsewhere, it takes nothing
+	immovableAt         time.Time // when there was no room elsewhere for its replicas
 	leaseOut            bool
 	unanswered          bool      // the last command got no answer, and no report came since
-	missed              time.Time // when the first of the commands was sent that got no answer; zero: the last got one
-	deaf                time.Time // the same, but of those that were not sent during a cut
+	unansweredSince     time.Time // when the first of the commands was sent that got no answer; zero: the last got one
+	unreachableSince    time.Time // the same, but of those that were not sent during a cut
 	probeAt             time.Time // when it is worth asking again
 
-	attempts   map[taskKey]*attempt
-	list       []*attempt         // the same in order; never changed in place, so that it can be walked meanwhile
-	picture    *scheduler.Machine // as a round of placement sees it; nil: to be made anew
-	runToken   map[taskKey]uint64 // highest token that a run was sent with
-	ended      map[taskKey]time.Time
-	strays     map[taskKey]bool // live attempts that are in nobody's record
-	images     map[string]bool
-	imagesTold int             // how many of them the other controllers know
-	faults     map[string]bool // jobs that failed here
-	outbox     []*attempt
-	stops      []wire.Command
-	waiting    bool // listed among those with something to send
-	calling    bool
+	attempts        map[taskKey]*attempt
+	list            []*attempt         // the same in order; never changed in place, so that it can be walked meanwhile
+	snapshot        *scheduler.Machine // as a round of placement sees it; nil: to be made anew
+	runToken        map[taskKey]uint64 // highest token that a run was sent with
+	ended           map[taskKey]time.Time
+	unknownAttempts map[taskKey]bool // live attempts that are in nobody's record
+	images          map[string]bool
+	imagesTold      int             // how many of them the other controllers know
+	faults          map[string]bool // jobs that failed here
+	outbox          []*attempt
+	stops           []wire.Command
+	queuedToSend    bool // listed among those with something to send
+	callInFlight    bool
 }
 
 // force puts an attempt in force on its machine.
-func (m *machine) force(a *attempt) {
+func (m *machine) add(a *attempt) {
 	m.attempts[a.key()] = a
 	at, _ := slices.BinarySearchFunc(m.list, a, func(x, y *attempt) int {
 		return cmp.Or(cmp.Compare(x.job.id, y.job.id), cmp.Compare(x.task, y.task))
 	})
 	m.list = slices.Insert(slices.Clone(m.list), at, a)
-	m.picture = nil
+	m.snapshot = nil
 }
 
 // drop takes an attempt out of force.
-func (m *machine) drop(a *attempt) {
+func (m *machine) remove(a *attempt) {
 	delete(m.attempts, a.key())
 	m.list = slices.DeleteFunc(slices.Clone(m.list), func(o *attempt) bool { return o == a })
-	m.picture = nil
+	m.snapshot = nil
 }
 
 // machine returns the ledger's entry, made when it is first heard of.
-func (l *lead) machine(id string) *machine {
+func (l *leader) machine(id string) *machine {
 	m := l.machines[id]
 	if m == nil {
 		m = &machine{
 			id: id, part: scheduler.PartOf(id, l.c.members()), since: l.c.now, idle: l.c.now, answered: l.elected,
 			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, ended: map[taskKey]time.Time{},
-			strays: map[taskKey]bool{}, images: map[string]bool{}, faults: map[string]bool{},
+			unknownAttempts: map[taskKey]bool{}, images: map[string]bool{}, faults: map[string]bool{},
 		}
 		if h := l.c.hints[id]; h != nil {
 			for _, image := range h.Images {
@@ -107,13 +107,13 @@
 // worker may take seconds to find a new leader by itself. Any session will do, a
 // refusal carries the report too. What leads here may be an answer that was long on
 // its way, to a leader that has lost its authority meanwhile.
-func (l *lead) seek(id, addr string) {
-	if at, ok := l.sought[id]; ok && l.c.now.Sub(at) < seekPause || !l.c.entitled() {
+func (l *leader) probe(id, addr string) {
+	if at, ok := l.probedAt[id]; ok && l.c.now.Sub(at) < probePause || !l.c.entitled() {
 		return
 	}
-	l.sought[id] = l.c.now
+	l.probedAt[id] = l.c.now
 	body := wire.Commands{Token: l.token}
-	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body, Timeout: seekTimeout}, func(r WorkerReply) {
+	l.c.worker(WorkerCall{Machine: id, Addr: addr, Commands: body, Timeout: probeReportTimeout}, func(r WorkerReply) {
 		_, gone := l.released[id]
 		if l.c.lead != l || gone || r.Report.Token > l.token {
 			return
@@ -132,17 +132,17 @@
 func (c *Core) report(r ReportRequest) {
 	l := c.lead
 	if !c.entitled() {
-		c.passOn(r)
+		c.redirectOrRelay(r)
 		return
 	}
 	rep := r.Report
 	if _, gone := l.released[rep.Machine]; gone || rep.Token > l.token {
-		c.later(r.Req, "machine released or token outdated")
+		c.retryLater(r.Req, "machine released or token outdated")
 		return
 	}
 	m := l.machine(rep.Machine)
 	if m.up && !rep.Newer(m.session, m.seq) {
-		c.later(r.Req, "stale report") // a delayed copy: it says nothing about now
+		c.retryLater(r.Req, "stale report") // a delayed copy: it says nothing about now
 		return
 	}
 	switch {
@@ -150,15 +150,15 @@
 		if rep.Addr != "" && c.hints[m.id] == nil {
 			c.hints[m.id] = &mesh.Hint{Machine: m.id, Addr: rep.Addr}
 		}
-	case !m.up && rep.Token < l.first:
+	case !m.up && rep.Token < l.electedToken:
 		// Made before our election: it may be a late copy, from a machine that is
 		// gone. The machine itself has to answer, or to report with our token.
-		l.seek(m.id, rep.Addr)
+		l.probe(m.id, rep.Addr)
 	default:
 		l.apply(m, &rep)
 	}
-	if l.mustLapse(m, &rep) {
-		c.later(r.Req, "a cancelled task may still start")
+	if l.mustNotRenew(m, &rep) {
+		c.retryLater(r.Req, "a cancelled task may still start")
 		return
 	}
 	// The answer renews the lease: this is counted before the answer goes out.
@@ -167,7 +167,7 @@
 	if m.up {
 		body.Commands = l.commands(m)
 	} else {
-		body.Commands = l.unwanted(&rep)
+		body.Commands = l.cancelledTasks(&rep)
 	}
 	c.answer(r.Req, http.StatusOK, body)
 }
@@ -175,7 +175,7 @@
 // unwanted lists the stops of a machine whose attempts are not known yet: a leader that
 // can't read the task records renews leases all the same, and whatever the records say,
 // no task of a cancelled job may go on.
-func (l *lead) unwanted(rep *wire.Report) []wire.Command {
+func (l *leader) cancelledTasks(rep *wire.Report) []wire.Command {
 	var cs []wire.Command
 	for _, t := range rep.Tasks {
 		id, _, _ := wire.SplitTask(t.ID)
@@ -192,9 +192,9 @@
 // token settles it, with the very answer that tells the worker of it, but can't be had
 // while the state service is out. A task that the report lists is another matter: its
 // stop goes with the renewal.
-func (l *lead) mustLapse(m *machine, rep *wire.Report) bool {
+func (l *leader) mustNotRenew(m *machine, rep *wire.Report) bool {
 	for _, a := range m.list {
-		if a.job.cancelled && a.sent && a.token >= l.token && !l.c.now.Before(a.job.cancelledAt.Add(l.c.blindFor())) &&
+		if a.job.cancelled && a.sent && a.token >= l.token && !l.c.now.Before(a.job.cancelledAt.Add(l.c.cancellationWindow())) &&
 			!slices.ContainsFunc(rep.Tasks, func(t wire.Task) bool { return t.ID == a.taskID() && t.Attempt == a.number }) {
 			return true
 		}
@@ -203,7 +203,7 @@
 }
 
 // apply takes in what a worker says of its machine.
-func (l *lead) apply(m *machine, rep *wire.Report) {
+func (l *leader) apply(m *machine, rep *wire.Report) {
 	c := l.c
 	if m.up && !rep.Newer(m.session, m.seq) {
 		return
@@ -221,7 +221,7 @@
 		m.answered = c.now
 	}
 	m.up, m.addr, m.typ, m.zone, m.spot = true, rep.Addr, rep.Type, rep.Zone, rep.Spot
-	m.unanswered, m.picture = false, nil
+	m.unanswered, m.snapshot = false, nil
 	m.session, m.seq, m.token, m.reported = rep.Session, rep.Seq, rep.Token, c.now
 	if notice := rep.NoticeS != nil; notice != m.notice {
 		m.notice = notice
@@ -231,7 +231,7 @@
 		}
 	}
 	listed := map[taskKey]bool{}
-	clear(m.strays)
+	clear(m.unknownAttempts)
 	for _, t := range rep.Tasks {
 		k := taskKey{t.ID, t.Attempt}
 		listed[k] = true
@@ -245,23 +245,23 @@
 	}
 	for _, a := range m.list {
 		if !listed[a.key()] {
-			l.absent(a)
+			l.attemptMissing(a)
 		}
 	}
-	if len(m.attempts)+len(m.strays) > 0 {
+	if len(m.attempts)+len(m.unknownAttempts) > 0 {
 		m.idle = c.now
 	}
 }
 
 // applyTask takes in one line of a report.
-func (l *lead) applyTask(m *machine, k taskKey, t wire.Task) {
+func (l *leader) applyTask(m *machine, k taskKey, t wire.Task) {
 	id, n, ok := wire.SplitTask(t.ID)
 	a := m.attempts[k]
 	if t.State != wire.TaskExited {
 		if a != nil {
-			l.alive(a, t.State)
+			l.attemptSeen(a, t.State)
 		} else {
-			m.strays[k] = true
+			m.unknownAttempts[k] = true
 		}
 		return
 	}
@@ -269,7 +269,7 @@
 		m.ended[k] = l.c.now
 	}
 	if a != nil {
-		l.exited(a, t.Why)
+		l.attemptEnded(a, t.Why)
 		return
 	}
 	// A finish is a fact whichever attempt it came from.
@@ -279,7 +279,7 @@
 }
 
 // alive adopts an attempt that a report shows on its machine.
-func (l *lead) alive(a *attempt, state string) {
+func (l *leader) attemptSeen(a *attempt, state string) {
 	a.seen = true
 	a.job.state.Start(a.task)
 	if state == wire.TaskRunning && !a.running {
@@ -291,7 +291,7 @@
 }
 
 // exited takes in that an attempt has ended, which proves it gone.
-func (l *lead) exited(a *attempt, why string) {
+func (l *leader) attemptEnded(a *attempt, why string) {
 	j, m := a.job, a.machine
 	switch {
 	case why == wire.WhyDone && j.spec.Kind != wire.KindService:
@@ -321,7 +321,7 @@
 // absent takes in that a report does not list an attempt. That proves it gone
 // only when no copy of its run can still arrive: the worker is in a newer
 // session, or has seen a token above all that the run was sent with.
-func (l *lead) absent(a *attempt) {
+func (l *leader) attemptMissing(a *attempt) {
 	m := a.machine
 	if m.session > a.session || m.token > a.token && a.sent {
 		l.gone(a, reduction.Reset, "not on its machine")
@@ -333,7 +333,7 @@
 }
 
 // commands lists what a report's answer tells the worker.
-func (l *lead) commands(m *machine) []wire.Command {
+func (l *leader) commands(m *machine) []wire.Command {
 	var cs []wire.Command
 	for _, a := range m.list {
 		if a.stopping {
@@ -342,7 +342,7 @@
 			cs = append(cs, l.runCommand(a))
 		}
 	}
-	for k := range m.strays {
+	for k := range m.unknownAttempts {
 		cs = append(cs, wire.Command{Op: wire.OpStop, Task: k.task, Attempt: k.attempt})
 	}
 	for k := range m.ended {
@@ -362,11 +362,11 @@
 // room to others without living to write it down, so together the records may hold
 // more than a team's limit or a job's constraints allow. What does run of it is kept;
 // the rest is gone by the first report that has seen our token, and placed anew.
-func (l *lead) mayRun(a *attempt) bool {
+func (l *leader) mayRun(a *attempt) bool {
 	return a.recorded && !a.restored && !a.stopping && !a.job.cancelled && a.session == a.machine.session && !a.machine.releasing
 }
 
-func (l *lead) runCommand(a *attempt) wire.Command {
+func (l *leader) runCommand(a *attempt) wire.Command {
 	a.sent = true
 	a.token = l.token
 	a.machine.runToken[a.key()] = l.token
@@ -376,7 +376,7 @@
 // forgettable tells whether a worker may forget an ended attempt: its outcome is
 // recorded, and the worker refuses every copy of its run that may still be on
 // its way because it has seen a higher token.
-func (l *lead) forgettable(m *machine, k taskKey) bool {
+func (l *leader) forgettable(m *machine, k taskKey) bool {
 	if m.attempts[k] != nil || m.token <= m.runToken[k] || m.token != l.token {
 		return false
 	}
@@ -388,7 +388,7 @@
 // stop makes an attempt stop; it stays in force until it is proved gone. One whose
 // run was not sent will not be: nobody else would ever prove it gone. While its
 // record is being written, the end of the write sees to it.
-func (l *lead) stop(a *attempt, grace float64) {
+func (l *leader) stop(a *attempt, grace float64) {
 	if w := a.job.write; !a.sent && (w == nil || !slices.Contains(w.attempts, a)) {
 		l.gone(a, reduction.Reset, "never sent")
 		return
@@ -400,7 +400,7 @@
 		a.stoppedAt = l.c.now
 	}
 	a.stopping, a.grace = true, grace
-	a.machine.picture = nil
+	a.machine.snapshot = nil
 	if a.sent {
 		a.machine.stops = append(a.machine.stops, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: grace})
 		l.hasToSend(a.machine)
@@ -408,21 +408,21 @@
 }
 
 // hasToSend lists a machine among those that commands wait for.
-func (l *lead) hasToSend(m *machine) {
-	if !m.waiting {
-		m.waiting = true
+func (l *leader) hasToSend(m *machine) {
+	if !m.queuedToSend {
+		m.queuedToSend = true
 		l.toSend = append(l.toSend, m)
 	}
 }
 
 // sendCommands sends directly what can't wait for the next report. A command
 // without an answer may still run; the attempt stays in force either way.
-func (l *lead) sendCommands() {
+func (l *leader) sendCommands() {
 	ms := l.toSend
 	l.toSend = nil
 	for _, m := range ms {
-		m.waiting = false
-		if m.calling || len(m.outbox)+len(m.stops) == 0 {
+		m.queuedToSend = false
+		if m.callInFlight || len(m.outbox)+len(m.stops) == 0 {
 			continue // the end of the call lists it again
 		}
 		cs := m.stops
@@ -438,8 +438,8 @@
 	}
 }
 
-func (l *lead) command(m *machine, cs []wire.Command) {
-	m.calling = true
+func (l *leader) command(m *machine, cs []wire.Command) {
+	m.callInFlight = true
 	timeout := leadCallTimeout
 	if len(cs) == 0 {
 		timeout = probeTimeout
@@ -450,14 +450,14 @@
 		if l.c.lead != l || l.machines[m.id] != m {
 			return
 		}
-		m.calling = false
+		m.callInFlight = false
 		l.hasToSend(m)
 		m.unanswered = r.Status == 0
 		if r.Status == 0 || r.Report.Machine != m.id {
 			l.noAnswer(m, sent)
 			return
 		}
-		m.missed, m.deaf, m.probeAt = time.Time{}, time.Time{}, time.Time{}
+		m.unansweredSince, m.unreachableSince, m.probeAt = time.Time{}, time.Time{}, time.Time{}
 		if !r.Report.Newer(session, seq) {
 			// Older than what the machine had said before it was asked: it has begun to
 			// count again. Late copies from before would pass for newer than all that
@@ -476,34 +476,34 @@
 
 // noAnswer notes that a command to a machine got no answer. Its reports may go on
 // arriving while it hears nothing: they say no more than that it can send.
-func (l *lead) noAnswer(m *machine, sent time.Time) {
-	if m.missed.IsZero() {
-		m.missed = sent
+func (l *leader) noAnswer(m *machine, sent time.Time) {
+	if m.unansweredSince.IsZero() {
+		m.unansweredSince = sent
 	}
 	// What was lost on a way that was cut says nothing of the machine, and the first
 	// command after that may be lost too.
-	if m.deaf.IsZero() || m.deaf.Before(l.cutAt[m.zone]) || m.deaf.Before(l.cutAt[""]) {
-		m.deaf = sent
+	if m.unreachableSince.IsZero() || m.unreachableSince.Before(l.partitionedAt[m.zone]) || m.unreachableSince.Before(l.partitionedAt[""]) {
+		m.unreachableSince = sent
 	}
-	pause := min(max(l.c.now.Sub(m.missed)/4, tickEvery), leadCallTimeout)
+	pause := min(max(l.c.now.Sub(m.unansweredSince)/4, tickEvery), leadCallTimeout)
 	m.probeAt = l.c.now.Add(pause)
 }
 
 // leaseEnd is when a machine's lease has run out for sure, by our clock.
-func (l *lead) leaseEnd(m *machine) time.Time {
+func (l *leader) leaseEnd(m *machine) time.Time {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS * (1 + 2*clockDrift))
 	return m.answered.Add(lease + 200*time.Millisecond)
 }
 
 // prove looks for attempts that time has proved gone, and for what only a
 // raised token can settle.
-func (l *lead) prove() {
+func (l *leader) proveGone() {
 	now := l.c.now
-	if now.Sub(l.provedAt) < proveEvery {
+	if now.Sub(l.proofsAt) < proofInterval {
 		return // a walk over all machines, and nothing that it finds is that urgent
 	}
-	l.provedAt = now
-	l.cut = l.cutZones()
+	l.proofsAt = now
+	l.partitioned = l.partitionedZones()
 	for _, m := range l.fleetOrder {
 		if !m.leaseOut && now.After(l.leaseEnd(m)) {
 			m.leaseOut = true
@@ -515,12 +515,12 @@
 			}
 		}
 		for k, since := range m.ended {
-			if m.runToken[k] >= l.token && now.Sub(since) > bumpForget {
+			if m.runToken[k] >= l.token && now.Sub(since) > raiseToForgetAfter {
 				l.raiseToken("ended attempts to forget")
 			}
 		}
 		for _, a := range m.list {
-			if a.stopping && !a.seen && now.Sub(a.stoppedAt) > bumpCancelled && a.token >= l.token {
+			if a.stopping && !a.seen && now.Sub(a.stoppedAt) > raiseForStoppedAfter && a.token >= l.token {
 				l.raiseToken("stopped attempt in doubt")
 			}
 		}
@@ -530,7 +530,7 @@
 // drain moves off a machine that will be taken all that loses nothing, can save, or
 // can't be expected to end in the seconds that are left: it begins again elsewhere
 // that much sooner.
-func (l *lead) drain(m *machine, left float64) {
+func (l *leader) drain(m *machine, left float64) {
 	for _, a := range m.list {
 		j := &a.job.spec
 		if j.Kind == wire.KindService || j.CheckpointS > 0 || l.remaining(a) > left {
@@ -542,7 +542,7 @@
 
 // remaining estimates for how many seconds an attempt will go on. One that runs for
 // longer than its owner thought may do so for a while.
-func (l *lead) remaining(a *attempt) float64 {
+func (l *leader) remaining(a *attempt) float64 {
 	if !a.running {
 		return a.job.spec.EstimateS
 	}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -40,7 +40,7 @@
 			}
 		}
 		if body.Progress.Deaf {
-			c.relays.deaf = c.now.Add(deafFor)
+			c.relays.leaderUnheard = c.now.Add(relayModeFor)
 		}
 		if len(c.hints) > maxHints {
 			clear(c.hints)
@@ -51,7 +51,7 @@
 	case *mesh.Envelope_Knocks:
 		for _, raw := range body.Knocks.Jobs {
 			if j := decode[wire.Job](raw); j != nil {
-				c.knocked(j)
+				c.noteDemandHint(j)
 			}
 		}
 	case *mesh.Envelope_Relay:
--- a/controller/promise.go
+++ b/controller/promise.go
@@ -25,26 +25,26 @@
 const promiseLife = 1200 * time.Millisecond
 
 // blindMargin is for the clocks and for what the end of a lease takes.
-const blindMargin = 500 * time.Millisecond
+const cancellationMargin = 500 * time.Millisecond
 
 // promises holds both sides: those that this controller gave, and as leader
 // those that it was given.
 type promises struct {
-	started time.Time
-	bound   time.Time // no claim before
-	round   uint64
-	asks    map[uint64]*promiseRound
-	ride    time.Time // authority by promises
-	riding  bool
+	started       time.Time
+	bound         time.Time // no claim before
+	round         uint64
+	asks          map[uint64]*promiseRound
+	promisedUntil time.Time // authority by promises
+	onPromises    bool
 }
 
 // promiseRound is one question to all other controllers.
 type promiseRound struct {
-	token   uint64
-	sent    time.Time
-	granted map[string]bool
-	young   time.Time // when the process was started, at the latest, that started last
-	unheard bool      // somebody may have told users what no answer tells
+	token               uint64
+	sent                time.Time
+	granted             map[string]bool
+	lastProcessStart    time.Time // when the process was started, at the latest, that started last
+	unknownCancellation bool      // somebody may have told users what no answer tells
 }
 
 // promiseBinds tells whether a promise forbids a claim. A process that has just
@@ -61,9 +61,9 @@
 
 // askPromises begins a round once renewals have failed for a while, or reads for half
 // of the time that there may be between two.
-func (l *lead) askPromises() {
+func (l *leader) askPromises() {
 	c, p := l.c, &l.c.promises
-	fine := c.now.Sub(l.renewed) < c.op.LeaderLifetime()/3 && c.now.Sub(l.seen()) < c.blindFor()/2
+	fine := c.now.Sub(l.renewed) < c.op.LeaderLifetime()/3 && c.now.Sub(l.headersKnownUntil()) < c.cancellationWindow()/2
 	if fine {
 		return
 	}
@@ -100,7 +100,7 @@
 		answer(false)
 		return
 	}
-	c.reach(func(reached bool) {
+	c.syncAlways(func(reached bool) {
 		if reached || !free() {
 			answer(false)
 			return
@@ -136,38 +136,38 @@
 		return
 	}
 	for _, id := range a.Cancelled {
-		if !c.calledOff(id) && !l.recovered {
-			r.unheard = true // a task of it may be found on a machine and not be known
+		if !c.noteCancelled(id) && !l.recovered {
+			r.unknownCancellation = true // a task of it may be found on a machine and not be known
 		}
 	}
 	up := time.Duration(float64(a.UpMs) * (1 - clockDrift) * float64(time.Millisecond))
-	if started := c.now.Add(-up); started.After(r.young) {
-		r.young = started
+	if started := c.now.Add(-up); started.After(r.lastProcessStart) {
+		r.lastProcessStart = started
 	}
 	r.granted[from] = true
-	held := p.ride
+	held := p.promisedUntil
 	if l.authority.After(held) {
 		held = l.authority
 	}
-	if len(r.granted) < len(c.cfg.Others) || !c.now.Before(held) && r.young.After(held) {
+	if len(r.granted) < len(c.cfg.Others) || !c.now.Before(held) && r.lastProcessStart.After(held) {
 		return
 	}
 	// Where a process has started since, who ran before it may have told users.
-	if !r.unheard && !r.young.After(l.seen()) && r.sent.After(l.heard) {
-		l.heard = r.sent
+	if !r.unknownCancellation && !r.lastProcessStart.After(l.headersKnownUntil()) && r.sent.After(l.headersPromisedUntil) {
+		l.headersPromisedUntil = r.sent
 	}
-	if until := r.sent.Add(promiseLife - promiseLife/500 - authorityMargin); until.After(p.ride) {
-		p.ride = until
+	if until := r.sent.Add(promiseLife - promiseLife/500 - authorityMargin); until.After(p.promisedUntil) {
+		p.promisedUntil = until
 	}
-	if !p.riding {
-		p.riding = true
+	if !p.onPromises {
+		p.onPromises = true
 		c.log(slog.LevelInfo, "state service not reached by any controller: leading on promises", "token", l.token)
 	}
 }
 
 // calledOff takes in that another controller knows a job to be cancelled, which is
 // as durable as if we had read it. It tells whether the job is known here.
-func (c *Core) calledOff(id string) bool {
+func (c *Core) noteCancelled(id string) bool {
 	h := c.control.headers[id]
 	if h == nil {
 		return false
@@ -183,11 +183,11 @@
 // seen is the moment up to which the leader knows of every cancellation that a user
 // was told of: when the last read was sent that its copy of the headers holds, or
 // the last round of promises that was as good.
-func (l *lead) seen() time.Time {
-	if read := l.c.control.read; read.After(l.heard) {
+func (l *leader) headersKnownUntil() time.Time {
+	if read := l.c.control.read; read.After(l.headersPromisedUntil) {
 		return read
 	}
-	return l.heard
+	return l.headersPromisedUntil
 }
 
 // blind is when the leader must answer no worker any more unless it has seen more
@@ -195,20 +195,22 @@
 // lease that is renewed before blind has run out cancel_s after that, and the task
 // with it. Settings that leave hardly any time between the two can't be kept by
 // leases alone; the service then relies on reading several times a second.
-func (l *lead) blind() time.Time { return l.seen().Add(l.c.blindFor()) }
+func (l *leader) renewalDeadline() time.Time {
+	return l.headersKnownUntil().Add(l.c.cancellationWindow())
+}
 
 // blindFor is how long after a cancellation was told the lease of a machine that may
 // run its task can be renewed at the latest.
-func (c *Core) blindFor() time.Duration {
+func (c *Core) cancellationWindow() time.Duration {
 	w := c.cfg.Facts.Workers
-	return max(config.Seconds(w.CancelS-w.LeaseS*(1+2*clockDrift))-blindMargin, c.op.LeaderLifetime()/2)
+	return max(config.Seconds(w.CancelS-w.LeaseS*(1+2*clockDrift))-cancellationMargin, c.op.LeaderLifetime()/2)
 }
 
 // rideOver takes in that the state service answers the leader again.
-func (l *lead) rideOver() {
+func (l *leader) stateServiceBack() {
 	p := &l.c.promises
-	if p.riding {
-		p.riding = false
+	if p.onPromises {
+		p.onPromises = false
 		l.c.log(slog.LevelInfo, "state service reached again", "token", l.token)
 		l.wantPlacement()
 	}
--- a/controller/record.go
+++ b/controller/record.go
@@ -17,7 +17,7 @@
 	headerPrefix  = "c/j/"
 	finalPrefix   = "f/"
 	taskPrefix    = "t/"
-	hirePrefix    = "h/"
+	rentalPrefix  = "h/"
 	versionPrefix = "c/v/"
 )
 
@@ -81,7 +81,7 @@
 
 // hireRecord is a rental request, written before it is made, and its answer, so that
 // a new leader asks again only for what has none.
-type hireRecord struct {
+type rentalRecord struct {
 	Rent     wire.Rent `cbor:"r"`
 	Answered bool      `cbor:"a,omitempty"`
 	Machines []string  `cbor:"m,omitempty"`
@@ -94,7 +94,9 @@
 
 // smallKey names a record of a job whose header asks for larger ones than may be
 // written: what it holds stands for its tasks instead of what a larger one says.
-func smallKey(job string, chunk int) string { return fmt.Sprintf("%s%s/s%06d", taskPrefix, job, chunk) }
+func dividedChunkKey(job string, chunk int) string {
+	return fmt.Sprintf("%s%s/s%06d", taskPrefix, job, chunk)
+}
 
 // splitChunk takes a task record's key apart.
 func splitChunk(key string) (job string, chunk int, small, ok bool) {
@@ -109,7 +111,7 @@
 
 // perChunk is how many tasks go into one task record so that it stays within
 // the largest value: a placement takes up to 75 characters of it as JSON.
-func perChunk(valueKB float64) int { return max(1, int(valueKB*1024/80)) }
+func tasksPerRecord(valueKB float64) int { return max(1, int(valueKB*1024/80)) }
 
 // headerRoom is what a header leaves of the largest value: a cancellation adds to it.
 const headerRoom = 64
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -16,19 +16,19 @@
 // report; the worker itself refuses an answer that comes too late.
 
 const (
-	relayPatience = time.Second      // the leader may be gone
-	relayFor      = 30 * time.Second // then the worker is sent to the leader again
-	deafFor       = 5 * time.Second
-	maxRelays     = 4096
-	relayedReq    = 1 << 63 // marks requests that came over the mesh
+	relayTimeout = time.Second      // the leader may be gone
+	relayFor     = 30 * time.Second // then the worker is sent to the leader again
+	relayModeFor = 5 * time.Second
+	maxRelays    = 4096
+	relayedReq   = 1 << 63 // marks requests that came over the mesh
 )
 
 // relays are the reports that are handed on, in both directions.
 type relays struct {
-	sent    map[string]*redirected
-	asked   map[uint64]ReportRequest // by id, waiting for the leader's answer
-	serving map[uint64]relayOrigin   // by request, to be answered over the mesh
-	deaf    time.Time                // until when the leader says that it hears few workers
+	redirects     map[string]*redirected
+	asked         map[uint64]ReportRequest // by id, waiting for the leader's answer
+	serving       map[uint64]relayOrigin   // by request, to be answered over the mesh
+	leaderUnheard time.Time                // until when the leader says that it hears few workers
 }
 
 // redirected is a worker that was sent to the leader.
@@ -43,37 +43,37 @@
 }
 
 func (r *relays) init() {
-	r.sent = map[string]*redirected{}
+	r.redirects = map[string]*redirected{}
 	r.asked = map[uint64]ReportRequest{}
 	r.serving = map[uint64]relayOrigin{}
 }
 
 // passOn sends a worker to the leader, or its report if it has come back.
-func (c *Core) passOn(r ReportRequest) {
+func (c *Core) redirectOrRelay(r ReportRequest) {
 	leader := c.leaderName()
-	if r.Req&relayedReq != 0 || leader == "" || len(c.relays.asked) > maxRelays || !c.cameBack(r.Report.Machine) {
+	if r.Req&relayedReq != 0 || leader == "" || len(c.relays.asked) > maxRelays || !c.returnedSoon(r.Report.Machine) {
 		c.answer(r.Req, http.StatusMisdirectedRequest, wire.Redirect{Leader: leader})
 		return
 	}
 	id := c.id()
 	c.relays.asked[id] = r
 	c.sendMesh(leader, &mesh.Envelope{Body: &mesh.Envelope_Relay{Relay: &mesh.Relay{Id: id, Report: wire.Marshal(r.Report)}}})
-	c.after(relayPatience, func() { c.relayAnswered(&mesh.RelayAnswer{Id: id}) })
+	c.after(relayTimeout, func() { c.relayAnswered(&mesh.RelayAnswer{Id: id}) })
 }
 
 // cameBack tells whether a worker was sent to the leader a short while ago, or
 // need not be sent because the leader is known to be cut off.
-func (c *Core) cameBack(machine string) bool {
-	s := c.relays.sent[machine]
+func (c *Core) returnedSoon(machine string) bool {
+	s := c.relays.redirects[machine]
 	if s == nil {
-		if len(c.relays.sent) > maxRelays {
-			clear(c.relays.sent)
+		if len(c.relays.redirects) > maxRelays {
+			clear(c.relays.redirects)
 		}
 		s = &redirected{}
-		c.relays.sent[machine] = s
+		c.relays.redirects[machine] = s
 	}
 	window := config.Seconds(3*c.cfg.Facts.Workers.ReportS) + 5*time.Second
-	recent := c.now.Sub(s.at) < window || c.now.Before(c.relays.deaf)
+	recent := c.now.Sub(s.at) < window || c.now.Before(c.relays.leaderUnheard)
 	s.at = c.now
 	switch {
 	case !recent || !s.relaying.IsZero() && c.now.Sub(s.relaying) > relayFor:
@@ -117,7 +117,7 @@
 	delete(c.relays.asked, a.Id)
 	var body wire.ReportAnswer
 	if a.Status != http.StatusOK || wire.Unmarshal(a.Body, &body) != nil {
-		c.later(r.Req, "leader not reached")
+		c.retryLater(r.Req, "leader not reached")
 		return
 	}
 	c.answer(r.Req, http.StatusOK, body)
--- a/controller/returns.go
+++ b/controller/returns.go
@@ -15,7 +15,7 @@
 )
 
 // returnSpare gives back machines that are not needed, the dearest first.
-func (l *lead) returnSpare() {
+func (l *leader) returnSpare() {
 	spare := l.spare()
 	slices.SortStableFunc(spare, func(a, b *machine) int { return cmp.Compare(l.price(b), l.price(a)) })
 	for _, m := range spare[:min(len(spare), max(returnMost, len(l.machines)/returnShare))] {
@@ -25,12 +25,12 @@
 
 // returnMachines gives back what never came up, what has gone silent and what
 // was found not to be needed.
-func (l *lead) returnMachines() {
+func (l *leader) returnMachines() {
 	f := &l.fleet
 	if f.releasing {
 		return
 	}
-	l.releaseLost()
+	l.releaseFailed()
 	var names []string
 	for _, m := range l.fleetOrder {
 		if m.releasing && len(names) < 100 {
@@ -51,7 +51,7 @@
 	})
 }
 
-func (l *lead) release(m *machine, why string) {
+func (l *leader) release(m *machine, why string) {
 	if m.releasing {
 		return
 	}
@@ -60,7 +60,7 @@
 }
 
 // forgetMachine takes in that a machine and everything on it is gone.
-func (l *lead) forgetMachine(id string) {
+func (l *leader) forgetMachine(id string) {
 	m := l.machines[id]
 	if m == nil {
 		return
@@ -75,12 +75,12 @@
 
 // spare lists idle machines that neither what waits nor the headroom has use for:
 // those that stay empty when all of it is placed, the fullest machines first.
-func (l *lead) spare() []*machine {
+func (l *leader) spare() []*machine {
 	var idle []*machine
 	for _, m := range l.fleetOrder {
 		// A machine is charged for a minute at least: before that nothing is saved.
-		if m.up && !m.releasing && len(m.attempts)+len(m.strays) == 0 && (m.emptying || l.c.now.Sub(m.rented) >= leastCharge &&
-			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS)) && !l.silent(m) {
+		if m.up && !m.releasing && len(m.attempts)+len(m.unknownAttempts) == 0 && (m.consolidating || l.c.now.Sub(m.rented) >= leastCharge &&
+			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS)) && !l.unresponsive(m) {
 			idle = append(idle, m)
 		}
 	}
@@ -92,7 +92,7 @@
 	scheduler.Order(demands)
 	needed := map[string]bool{}
 	for _, d := range demands {
-		d.Loose = false
+		d.SpreadImages = false
 		for _, p := range scheduler.Place(machines, d) {
 			needed[p.Machine.ID] = true
 		}
@@ -101,7 +101,7 @@
 }
 
 // gatherEvery is how often a machine is looked for whose replicas have room elsewhere.
-const gatherEvery = 2 * time.Second
+const consolidateEvery = 2 * time.Second
 
 // settledFor is how long a replica must have run before it may be moved: a start
 // that is stopped sooner was none.
@@ -110,12 +110,12 @@
 // gather empties the machine whose money is spent on fewest replicas, when all of
 // them have room on machines that are in use anyway and have their images, and
 // nothing else has use for the machine. A move costs its user a fraction of a second.
-func (l *lead) gather() {
-	troubled := slices.Contains(slices.Collect(maps.Values(l.cut)), true)
-	if l.c.now.Sub(l.gatheredAt) < gatherEvery || troubled || !l.c.now.Before(l.authority) {
+func (l *leader) consolidate() {
+	troubled := slices.Contains(slices.Collect(maps.Values(l.partitioned)), true)
+	if l.c.now.Sub(l.consolidatedAt) < consolidateEvery || troubled || !l.c.now.Before(l.authority) {
 		return
 	}
-	l.gatheredAt = l.c.now
+	l.consolidatedAt = l.c.now
 	waiting := l.backlog()
 	if slices.ContainsFunc(waiting, func(d *scheduler.Demand) bool { return len(d.Tasks) > 0 }) {
 		return
@@ -130,12 +130,12 @@
 	if best == nil {
 		return
 	}
-	if !l.roomWithout(best) {
-		best.keptAt = l.c.now
+	if !l.fitsElsewhere(best) {
+		best.immovableAt = l.c.now
 		return
 	}
 	l.c.log(slog.LevelInfo, "emptying machine", "machine", best.id, "tasks", len(best.list))
-	best.emptying = true
+	best.consolidating = true
 	for _, a := range best.list {
 		l.stop(a, graceOf(&a.job.spec))
 	}
@@ -146,8 +146,8 @@
 // no more than half of it, and that a cheaper type would have done for. Where there is
 // none, what is free beside them is room for the next, and moving them only costs it,
 // unless a machine boots in time for the next.
-func (l *lead) movable(m *machine) bool {
-	if !l.usable(m) || len(m.list) == 0 || len(m.strays) > 0 || l.c.now.Sub(m.keptAt) < settledFor {
+func (l *leader) movable(m *machine) bool {
+	if !l.usable(m) || len(m.list) == 0 || len(m.unknownAttempts) > 0 || l.c.now.Sub(m.immovableAt) < settledFor {
 		return false
 	}
 	used := 0.0
@@ -162,7 +162,7 @@
 }
 
 // fitsCheaper tells whether a task could run on a type that costs less than a machine.
-func (l *lead) fitsCheaper(j *wire.Job, m *machine) bool {
+func (l *leader) fitsCheaper(j *wire.Job, m *machine) bool {
 	return slices.ContainsFunc(l.typesFor(j), func(t wire.MachineType) bool {
 		return t.Price < l.c.types[m.typ].Price && capOf(t).Fits(jobEach(j)) > 0
 	})
@@ -170,7 +170,7 @@
 
 // roomWithout tells whether the others have room for what a machine runs, where its
 // images are, and for all that room is kept for.
-func (l *lead) roomWithout(m *machine) bool {
+func (l *leader) fitsElsewhere(m *machine) bool {
 	machines := slices.DeleteFunc(l.view(true), func(o *scheduler.Machine) bool { return o.ID == m.id })
 	moved := map[*job][]*attempt{}
 	for _, a := range m.list {
@@ -205,7 +205,7 @@
 	return true
 }
 
-func (l *lead) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
+func (l *leader) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
 
 func priceOf(t wire.MachineType, spot bool) float64 {
 	if spot {
--- a/controller/rounds.go
+++ b/controller/rounds.go
@@ -27,7 +27,7 @@
 const hintAllEvery = 10 * time.Second
 
 // wantPlacement asks for a round soon.
-func (l *lead) wantPlacement() {
+func (l *leader) wantPlacement() {
 	if l.placeAt.IsZero() {
 		pause := roundPause + time.Duration(len(l.machines))*roundPerMachine
 		l.placeAt = l.c.now.Add(pause)
@@ -37,7 +37,7 @@
 
 // place runs a round: it classifies every job, orders what is on the frontiers,
 // and places it class by class.
-func (l *lead) place() {
+func (l *leader) place() {
 	if l.placeAt.IsZero() || l.c.now.Before(l.placeAt) || len(l.c.types) == 0 || !l.c.now.Before(l.authority) {
 		return
 	}
@@ -48,14 +48,14 @@
 	}
 	all := l.view(true)
 	machines := slices.DeleteFunc(slices.Clone(all), func(m *scheduler.Machine) bool { return m.Virtual })
-	demands = scheduler.Turns(demands, l.reserve(machines))
+	demands = scheduler.OrderWithAging(demands, l.reserve(machines))
 	used := l.teamUse()
 	excess := l.excess()
 	full := map[classKey]bool{}
 	kept := false
 	for _, d := range demands {
 		if d.Rank > 0 && !d.Service && !kept {
-			l.keepForDoor(machines)
+			l.reserveForHinted(machines)
 			kept = true
 		}
 		d.RoomInTeam = l.roomInTeam(d, used)
@@ -65,10 +65,10 @@
 		}
 		want := min(len(d.Tasks), d.RoomInTeam)
 		placed := 0
-		if d.Patient {
+		if d.WaitForBooting {
 			placed = l.placeSome(all, d) // it had better wait for a machine that suits
 		}
-		if d.Loose && d.Service && d.Rank == 0 {
+		if d.SpreadImages && d.Service && d.Rank == 0 {
 			placed += l.placeCached(machines, d, want-placed, excess)
 		}
 		placed += l.placeSome(machines, d)
@@ -77,8 +77,8 @@
 			// No machine takes one more of these: that is decided for the class.
 			full[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
 			l.preempt(machines, d, want-placed, excess)
-			if d.Waited && placed == 0 {
-				scheduler.Hold(machines, d)
+			if d.Aged && placed == 0 {
+				scheduler.ReserveFor(machines, d)
 			}
 		}
 	}
@@ -86,7 +86,7 @@
 
 // placeSome places what has room, takes it off the demand, and counts it. What is
 // meant for a machine that still boots waits for it.
-func (l *lead) placeSome(machines []*scheduler.Machine, d *scheduler.Demand) int {
+func (l *leader) placeSome(machines []*scheduler.Machine, d *scheduler.Demand) int {
 	placed := scheduler.Place(machines, d)
 	n := len(placed)
 	l.assign(d, slices.DeleteFunc(placed, func(p scheduler.Assignment) bool { return p.Machine.Virtual }))
@@ -97,7 +97,7 @@
 // placeCached places a service, whose image takes longer to fetch than its aim
 // allows, where the image is, and makes room there before it goes elsewhere. It
 // counts what is placed or has room on its way.
-func (l *lead) placeCached(machines []*scheduler.Machine, d *scheduler.Demand, want int, excess scheduler.Excess) int {
+func (l *leader) placeCached(machines []*scheduler.Machine, d *scheduler.Demand, want int, excess scheduler.Excess) int {
 	d.CachedOnly = true
 	placed := l.placeSome(machines, d)
 	coming := 0
@@ -109,7 +109,7 @@
 	return placed + coming
 }
 
-func (l *lead) cachedSomewhere(machines []*scheduler.Machine, d *scheduler.Demand) bool {
+func (l *leader) cachedSomewhere(machines []*scheduler.Machine, d *scheduler.Demand) bool {
 	return slices.ContainsFunc(machines, func(m *scheduler.Machine) bool { return m.Images[d.Image] })
 }
 
@@ -127,15 +127,15 @@
 	for _, t := range d.Types {
 		types += t + " "
 	}
-	return classKey{d.Class, d.Team, d.Zone, types, d.Each, d.Spot, d.Rank, d.Within}
+	return classKey{d.Class, d.Team, d.Zone, types, d.Each, d.Spot, d.Rank, d.WithinGuarantee}
 }
 
 // demands lists the frontiers of all jobs.
-func (l *lead) demands() []*scheduler.Demand {
+func (l *leader) demands() []*scheduler.Demand {
 	var ds []*scheduler.Demand
-	l.dealShares()
+	l.assignGuarantees()
 	for _, j := range l.order {
-		if j.cancelled || j.state.Count(reduction.Pending) == 0 || l.held(j) {
+		if j.cancelled || j.state.Count(reduction.Pending) == 0 || l.blocked(j) {
 			continue
 		}
 		verdict, frontier := reduction.Classify(j.graph, j.state)
@@ -152,13 +152,13 @@
 		if len(d.Tasks) == 0 {
 			continue
 		}
-		if d.Loose = l.fetchMatters(&j.spec); d.Loose || d.Service {
-			d.Others = l.otherClasses(d.Class)
+		if d.SpreadImages = l.fetchMatters(&j.spec); d.SpreadImages || d.Service {
+			d.OtherClasses = l.otherClasses(d.Class)
 		}
-		d.Patient = d.Service && !j.begun && l.c.now.Sub(j.ready).Seconds() > l.startAim(&j.spec)
-		d.Within, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.ready).Seconds(), j.avoid
+		d.WaitForBooting = d.Service && !j.begun && l.c.now.Sub(j.ready).Seconds() > l.startAim(&j.spec)
+		d.WithinGuarantee, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.ready).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
-		d.Begun, d.Waited = j.begun, l.waited(j)
+		d.Begun, d.Aged = j.begun, l.waited(j)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
@@ -177,13 +177,13 @@
 // reserveShare is the part of all machines that may be taken by what has waited.
 const reserveShare = 1.0 / 8
 
-func (l *lead) waited(j *job) bool {
+func (l *leader) waited(j *job) bool {
 	age := l.c.now.Sub(j.ready)
 	return !j.begun && age > beginAfter || age > serveAfter
 }
 
 // reserve is the size of what is left of that.
-func (l *lead) reserve(machines []*scheduler.Machine) float64 {
+func (l *leader) reserve(machines []*scheduler.Machine) float64 {
 	left := 0.0
 	for _, m := range machines {
 		left += l.c.measure.Of(m.Cap) * reserveShare
@@ -199,7 +199,7 @@
 // missed counts the aims on finishing that a job can't meet any more. One that has
 // waited out several times the last of them, or has lost work to a failure, is
 // not passed over.
-func (l *lead) missed(j *job) int {
+func (l *leader) missed(j *job) int {
 	n, over := 0, 0.0 // by how many times the age exceeds the last of them
 	for _, o := range l.c.cfg.Facts.Objectives {
 		within, age := o.WithinS, l.c.now.Sub(j.ready).Seconds()
@@ -216,20 +216,20 @@
 			over = age / within
 		}
 	}
-	if j.hurt || over > 4 {
+	if j.disrupted || over > 4 {
 		return 0
 	}
 	return n
 }
 
 // workLeft estimates what is left of a job: the sizes of its tasks times seconds.
-func (l *lead) workLeft(j *job) float64 {
+func (l *leader) workLeft(j *job) float64 {
 	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * l.c.measure.Of(jobEach(&j.spec)) * j.spec.EstimateS
 }
 
 // within tells whether a job fits into its team's guarantee together with the
 // team's jobs that come before it, and adds it to those.
-func (l *lead) within(j *job, earlier map[string]scheduler.Resources) bool {
+func (l *leader) within(j *job, earlier map[string]scheduler.Resources) bool {
 	left := j.spec.Tasks - j.state.Count(reduction.Completed)
 	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(left))
 	earlier[j.spec.Team] = sum
@@ -238,12 +238,12 @@
 
 // fetchMatters tells whether fetching the image alone would miss the class's
 // tightest aim on starting: then its image had better be in many places.
-func (l *lead) fetchMatters(j *wire.Job) bool {
+func (l *leader) fetchMatters(j *wire.Job) bool {
 	return l.slowestFetch(j) > l.startAim(j)
 }
 
 // slowestFetch is how many seconds a job's image takes where it takes longest.
-func (l *lead) slowestFetch(j *wire.Job) float64 {
+func (l *leader) slowestFetch(j *wire.Job) float64 {
 	longest := 0.0
 	for _, t := range l.typesFor(j) {
 		if t.FetchGBps > 0 {
@@ -254,7 +254,7 @@
 }
 
 // guaranteeAim is how soon work within a guarantee should start.
-func (l *lead) guaranteeAim() float64 {
+func (l *leader) guaranteeAim() float64 {
 	for _, o := range l.c.cfg.Facts.Objectives {
 		if o.Kind == "guarantee" {
 			return o.WithinS
@@ -264,7 +264,7 @@
 }
 
 // otherClasses lists what a task of each other class of late takes.
-func (l *lead) otherClasses(class string) []scheduler.Resources {
+func (l *leader) otherClasses(class string) []scheduler.Resources {
 	var rs []scheduler.Resources
 	for _, name := range slices.Sorted(maps.Keys(l.fleet.peaks)) {
 		if name != class {
@@ -275,7 +275,7 @@
 }
 
 // startAim is the tightest aim on starting that holds for a job.
-func (l *lead) startAim(j *wire.Job) float64 {
+func (l *leader) startAim(j *wire.Job) float64 {
 	within := math.Inf(1)
 	for _, o := range l.c.cfg.Facts.Objectives {
 		if o.Kind == "wait" && o.Class == j.Class || o.Kind == "guarantee" {
@@ -286,7 +286,7 @@
 }
 
 // teamUse counts every attempt not proved gone.
-func (l *lead) teamUse() map[string]scheduler.Resources {
+func (l *leader) teamUse() map[string]scheduler.Resources {
 	used := map[string]scheduler.Resources{}
 	for _, j := range l.order {
 		used[j.spec.Team] = used[j.spec.Team].Add(jobEach(&j.spec), float64(len(j.attempts)))
@@ -295,7 +295,7 @@
 }
 
 // excess is what each team uses beyond its guarantee, less what is being stopped.
-func (l *lead) excess() scheduler.Excess {
+func (l *leader) excess() scheduler.Excess {
 	e := scheduler.Excess{}
 	for team, q := range l.c.quotas {
 		e[team] = q.excess()
@@ -310,22 +310,22 @@
 	return e
 }
 
-func (l *lead) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
+func (l *leader) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
 	return l.c.quotas[d.Team].limit.Add(used[d.Team], -1).Fits(d.Each)
 }
 
 // usable tells whether a machine may be given new work.
-func (l *lead) usable(m *machine) bool {
+func (l *leader) usable(m *machine) bool {
 	// Where commands to many get no answer, the fault is ours, and reports carry them.
-	hears := m.missed.IsZero() || l.cut[""]
-	return m.up && !m.releasing && !m.emptying && !m.notice && !m.leaseOut && !l.silent(m) && hears
+	hears := m.unansweredSince.IsZero() || l.partitioned[""]
+	return m.up && !m.releasing && !m.consolidating && !m.notice && !m.leaseOut && !l.unresponsive(m) && hears
 }
 
 // view gives the scheduler its picture of the machines; with booting, those that
 // are not up yet count too. The picture may be changed; it lasts until the next
 // view. Only machines that have changed since are drawn anew.
-func (l *lead) view(booting bool) []*scheduler.Machine {
-	l.dealShares()
+func (l *leader) view(booting bool) []*scheduler.Machine {
+	l.assignGuarantees()
 	if cap(l.scratch) < len(l.fleetOrder) {
 		l.scratch = make([]scheduler.Machine, 0, len(l.fleetOrder)+len(l.fleetOrder)/4)
 	}
@@ -336,17 +336,17 @@
 		if !ok || !l.usable(m) && !(booting && !m.up && !m.releasing && !l.overdue(m, t)) {
 			continue
 		}
-		if m.picture == nil {
-			m.picture = l.draw(m, t)
+		if m.snapshot == nil {
+			m.snapshot = l.takeSnapshot(m, t)
 		}
-		l.scratch = append(l.scratch, *m.picture)
+		l.scratch = append(l.scratch, *m.snapshot)
 		ms = append(ms, &l.scratch[len(l.scratch)-1])
 	}
 	return ms
 }
 
 // draw makes the scheduler's picture of one machine.
-func (l *lead) draw(m *machine, t wire.MachineType) *scheduler.Machine {
+func (l *leader) takeSnapshot(m *machine, t wire.MachineType) *scheduler.Machine {
 	s := &scheduler.Machine{
 		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.part,
 		Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
@@ -354,7 +354,7 @@
 	if faulty(m) {
 		s.Penalty = 1
 	}
-	for k := range m.strays {
+	for k := range m.unknownAttempts {
 		id, _, _ := wire.SplitTask(k.task)
 		if j := l.jobs[id]; j != nil {
 			s.Free = s.Free.Add(jobEach(&j.spec), -1)
@@ -370,11 +370,11 @@
 
 // overdue tells whether a booting machine is late, so that another should be
 // rented in its place: a few never come up, and waiting for proof takes long.
-func (l *lead) overdue(m *machine, t wire.MachineType) bool {
+func (l *leader) overdue(m *machine, t wire.MachineType) bool {
 	return l.c.now.Sub(m.since) > config.Seconds(t.BootS*1.6)+2*time.Second
 }
 
-func (l *lead) occupy(s *scheduler.Machine, a *attempt) {
+func (l *leader) occupy(s *scheduler.Machine, a *attempt) {
 	each := a.job.terms.Each
 	s.Free = s.Free.Add(each, -1)
 	if a.stopping {
@@ -388,19 +388,19 @@
 	if a.running {
 		since = a.since
 	}
-	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since, Kept: a.kept})
+	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since, PlacedByAge: a.placedByAge})
 }
 
 // sharesEvery is how often the guarantees are dealt out anew where no job has come.
-const sharesEvery = 250 * time.Millisecond
+const guaranteesEvery = 250 * time.Millisecond
 
 // dealShares marks the jobs beyond their team's guarantee. Which of its jobs a team's
 // guarantee goes to follows the order in which they are served.
-func (l *lead) dealShares() {
-	if l.c.now.Sub(l.sharesAt) < sharesEvery {
+func (l *leader) assignGuarantees() {
+	if l.c.now.Sub(l.guaranteesAt) < guaranteesEvery {
 		return
 	}
-	l.sharesAt = l.c.now
+	l.guaranteesAt = l.c.now
 	earlier := map[string]scheduler.Resources{}
 	type ranked struct {
 		*job
@@ -409,7 +409,7 @@
 	}
 	order := make([]ranked, 0, len(l.order))
 	for _, j := range l.order {
-		if !j.cancelled && !l.held(j) {
+		if !j.cancelled && !l.blocked(j) {
 			order = append(order, ranked{j, l.missed(j), l.workLeft(j)})
 		}
 	}
@@ -423,7 +423,7 @@
 
 // assign plans attempts. The tasks of a gang carry the same attempt number:
 // workers take only those for peers.
-func (l *lead) assign(d *scheduler.Demand, placed []scheduler.Assignment) {
+func (l *leader) assign(d *scheduler.Demand, placed []scheduler.Assignment) {
 	j := l.jobs[d.Job]
 	if d.Gang {
 		top := uint64(0)
@@ -431,27 +431,27 @@
 			top = max(top, ch.next)
 		}
 		for _, p := range placed {
-			j.chunks[p.Task/j.per].next = top + 1
+			j.chunks[p.Task/j.tasksPerRecord].next = top + 1
 		}
 	}
 	for _, p := range placed {
-		ch := &j.chunks[p.Task/j.per]
+		ch := &j.chunks[p.Task/j.tasksPerRecord]
 		if !d.Gang {
 			ch.next++
 		}
-		l.plan(j, p, ch.next).kept = d.Waited
+		l.plan(j, p, ch.next).placedByAge = d.Aged
 	}
 }
 
 // plan puts an attempt in force; its run is sent once the record is written.
-func (l *lead) plan(j *job, p scheduler.Assignment, number uint64) *attempt {
+func (l *leader) plan(j *job, p scheduler.Assignment, number uint64) *attempt {
 	m := l.machines[p.Machine.ID]
 	a := &attempt{job: j, task: p.Task, number: number, machine: m, session: m.session, placed: l.c.now}
 	j.attempts[p.Task] = a
-	m.force(a)
+	m.add(a)
 	j.state.Start(p.Task)
 	j.touch(p.Task, l.c.now)
-	j.pressing = true
+	j.urgent = true
 	l.c.log(slog.LevelDebug, "placed", "job", j.id, "task", p.Task, "attempt", a.number, "machine", m.id,
 		"cached", m.images[j.spec.Image], "part", p.Machine.Part)
 	return a
@@ -459,8 +459,8 @@
 
 // preempt stops what has to give way for a demand and counts the tasks that get
 // room by it; a later round places them, once what was stopped is proved gone.
-func (l *lead) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int, excess scheduler.Excess) int {
-	if d.Rank > 0 && !d.Within || d.AgeS < l.canWait(d) {
+func (l *leader) preempt(machines []*scheduler.Machine, d *scheduler.Demand, missing int, excess scheduler.Excess) int {
+	if d.Rank > 0 && !d.WithinGuarantee || d.AgeS < l.canWait(d) {
 		return 0 // what is running may make room in time, and loses nothing
 	}
 	victims, room := scheduler.Preempt(machines, d, min(missing, 32), excess, l.c.now)
@@ -475,7 +475,7 @@
 // canWait is for how many seconds a demand may wait for running tasks to end by
 // themselves before any is stopped for it: of a service's aim on starting a quarter
 // of what the fetch of its image leaves. What has run before is missed already.
-func (l *lead) canWait(d *scheduler.Demand) float64 {
+func (l *leader) canWait(d *scheduler.Demand) float64 {
 	switch {
 	case d.Rank > 0:
 		return l.guaranteeAim() / 2
@@ -487,12 +487,12 @@
 }
 
 // talk tells the other controllers the counts of tasks, for display.
-func (l *lead) talk() {
+func (l *leader) broadcastProgress() {
 	const every = 500 * time.Millisecond
-	if l.c.now.Sub(l.talkedAt) < every {
+	if l.c.now.Sub(l.progressAt) < every {
 		return
 	}
-	l.talkedAt = l.c.now
+	l.progressAt = l.c.now
 	var jobs []*mesh.JobProgress
 	for _, j := range l.order {
 		n := jobCount{done: j.state.Count(reduction.Completed)}
@@ -501,14 +501,14 @@
 				n.running++
 			}
 		}
-		if l.told[j.id] != n {
-			l.told[j.id] = n
+		if l.progressTold[j.id] != n {
+			l.progressTold[j.id] = n
 			l.c.progress[j.id] = n
 			jobs = append(jobs, &mesh.JobProgress{Job: j.id, Done: uint32(n.done), Running: uint32(n.running)})
 		}
 	}
 	hints := l.hints()
-	deaf := l.cut[""]
+	deaf := l.partitioned[""]
 	if len(jobs)+len(hints) > 0 || deaf {
 		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Hints: hints, Deaf: deaf}}})
 	}
@@ -517,7 +517,7 @@
 // hints lists what whoever leads next should know of machines that have changed,
 // and now and then of all: where they are reached, since workers take seconds to
 // find a new leader, and their images, which reports don't tell.
-func (l *lead) hints() []*mesh.Hint {
+func (l *leader) hints() []*mesh.Hint {
 	all := l.c.now.Sub(l.hintedAt) > hintAllEvery
 	if all {
 		l.hintedAt = l.c.now
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -8,12 +8,12 @@
 )
 
 // releaseLost decides between waiting a lease out and releasing the machine.
-func (l *lead) releaseLost() {
+func (l *leader) releaseFailed() {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
-	hushed := l.hushed()
+	hushed := l.unheardZones()
 	// Just after a cut some machines are still to be heard, and others are back already.
 	blameless := func(zone string) bool {
-		return !hushed[zone] && l.c.now.Sub(l.cutAt[zone]) > l.patience()
+		return !hushed[zone] && l.c.now.Sub(l.partitionedAt[zone]) > l.suspectAfter()
 	}
 	var elsewhere []*scheduler.Machine // drawn once: what moves off one machine takes room from the next
 	canMove := func(m *machine) bool {
@@ -29,9 +29,9 @@
 		}
 		return l.canMove(m, elsewhere)
 	}
-	found := l.mostFound()
+	found := l.mostMachinesReported()
 	for _, m := range l.fleetOrder {
-		silence := l.silence(m)
+		silence := l.sinceHeartbeat(m)
 		switch {
 		case m.releasing:
 		case !m.up:
@@ -40,15 +40,15 @@
 			} else if found && l.overdueSinceElection(m) && canMove(m) {
 				l.release(m, "silent since the election")
 			} else if h := l.c.hints[m.id]; h != nil && h.Addr != "" && len(m.attempts) > 0 {
-				l.seek(m.id, h.Addr)
+				l.probe(m.id, h.Addr)
 			}
 		case faulty(m) && len(m.attempts) == 0:
 			l.release(m, "faulty")
-		case m.notice && len(m.attempts)+len(m.strays) == 0:
+		case m.notice && len(m.attempts)+len(m.unknownAttempts) == 0:
 			l.release(m, "will be taken")
-		case silence > 3*lease, (silence > l.patience() && m.unanswered || l.deafFor(m) > l.patience()) && blameless(m.zone) && blameless("") && canMove(m):
+		case silence > 3*lease, (silence > l.suspectAfter() && m.unanswered || l.unreachableFor(m) > l.suspectAfter()) && blameless(m.zone) && blameless("") && canMove(m):
 			l.release(m, "silent")
-		case (l.late(m) || !m.missed.IsZero()) && !m.calling && !l.c.now.Before(m.probeAt):
+		case (l.heartbeatOverdue(m) || !m.unansweredSince.IsZero()) && !m.callInFlight && !l.c.now.Before(m.probeAt):
 			l.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
 		}
 	}
@@ -61,7 +61,7 @@
 // listen notes since when this leader has heard its machines without a pause. A
 // process that stood still while its clocks ran on, or had no authority to answer,
 // finds all of them silent at once; that says nothing of them.
-func (l *lead) listen() {
+func (l *leader) noteListening() {
 	if l.c.now.Sub(l.listened) > listenGap {
 		l.listening = l.c.now
 	}
@@ -69,7 +69,7 @@
 }
 
 // since is how much of the time since then we have listened for.
-func (l *lead) since(then time.Time) time.Duration {
+func (l *leader) since(then time.Time) time.Duration {
 	if then.Before(l.listening) {
 		then = l.listening
 	}
@@ -77,36 +77,36 @@
 }
 
 // silence is how long a machine has not been heard of.
-func (l *lead) silence(m *machine) time.Duration { return l.since(m.reported) }
+func (l *leader) sinceHeartbeat(m *machine) time.Duration { return l.since(m.reported) }
 
 // reportDue is how long after a report the next one should have come, with slack.
-func (l *lead) reportDue(slack time.Duration) time.Duration {
+func (l *leader) reportDue(slack time.Duration) time.Duration {
 	return config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25) + slack
 }
 
 // late tells whether a machine's report is overdue.
-func (l *lead) late(m *machine) bool {
-	return l.silence(m) > l.reportDue(250*time.Millisecond)
+func (l *leader) heartbeatOverdue(m *machine) bool {
+	return l.sinceHeartbeat(m) > l.reportDue(250*time.Millisecond)
 }
 
 // silent tells whether a machine has not been heard of for too long to be given
 // new work.
-func (l *lead) silent(m *machine) bool {
-	return l.silence(m) > l.reportDue(time.Second)
+func (l *leader) unresponsive(m *machine) bool {
+	return l.sinceHeartbeat(m) > l.reportDue(time.Second)
 }
 
 // deafFor is how long a machine has not answered commands, whatever it reports.
-func (l *lead) deafFor(m *machine) time.Duration {
-	if m.deaf.IsZero() {
+func (l *leader) unreachableFor(m *machine) time.Duration {
+	if m.unreachableSince.IsZero() {
 		return 0
 	}
-	return l.since(m.deaf)
+	return l.since(m.unreachableSince)
 }
 
 // cutZones lists the zones of which most machines are silent, and "" where a
 // quarter of all is: that speaks for a fault on the way to us, not on the
 // machines. They are left their leases, and come back with what they ran.
-func (l *lead) cutZones() map[string]bool {
+func (l *leader) partitionedZones() map[string]bool {
 	all, silent := map[string]int{}, map[string]int{}
 	for _, m := range l.machines {
 		if !m.up {
@@ -114,7 +114,7 @@
 		}
 		all[m.zone]++
 		all[""]++
-		if l.late(m) || !m.missed.IsZero() {
+		if l.heartbeatOverdue(m) || !m.unansweredSince.IsZero() {
 			silent[m.zone]++
 			silent[""]++
 		}
@@ -129,7 +129,7 @@
 		// A quarter of all may well have died or hang: they are waited for only where
 		// their zone is cut, or most do not answer.
 		if is && (zone != "" || 2*silent[""] > all[""]) {
-			l.cutAt[zone] = l.c.now
+			l.partitionedAt[zone] = l.c.now
 		}
 	}
 	return cut
@@ -139,7 +139,7 @@
 // heard in the last moments. Where all fall silent at once, those that were due
 // first are suspected before a quarter of all is late: a leader that has just lost
 // its way to the workers would release them.
-func (l *lead) hushed() map[string]bool {
+func (l *leader) unheardZones() map[string]bool {
 	const (
 		part  = 4 // of the time between two reports
 		least = 2 // reports that must have been due
@@ -166,7 +166,7 @@
 
 // mostFound tells whether most machines that an earlier leader placed work on
 // have found us.
-func (l *lead) mostFound() bool {
+func (l *leader) mostMachinesReported() bool {
 	missing, all := 0, 0
 	for _, o := range l.machines {
 		if len(o.attempts) > 0 {
@@ -182,8 +182,8 @@
 // overdueSinceElection tells whether a machine with work of an earlier leader should
 // have found us by now. One that didn't answer when it was asked is like any other
 // that has fallen silent; where nobody could ask, its worker may still be looking.
-func (l *lead) overdueSinceElection(m *machine) bool {
-	patience := l.patience() + time.Second
+func (l *leader) overdueSinceElection(m *machine) bool {
+	patience := l.suspectAfter() + time.Second
 	if !m.unanswered {
 		patience += config.Seconds(2 * l.c.cfg.Facts.Workers.ReportS)
 	}
@@ -192,7 +192,7 @@
 
 // canMove tells whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
-func (l *lead) canMove(m *machine, machines []*scheduler.Machine) bool {
+func (l *leader) canMove(m *machine, machines []*scheduler.Machine) bool {
 	for _, a := range m.list {
 		d := l.c.demandOf(&a.job.spec)
 		d.Tasks, d.RoomInTeam = []int{a.task}, 1
@@ -203,7 +203,7 @@
 	return true
 }
 
-func (l *lead) bootedTooLong(m *machine) bool {
+func (l *leader) bootedTooLong(m *machine) bool {
 	boot := 60.0
 	if t, ok := l.c.types[m.typ]; ok {
 		boot = t.BootS
@@ -220,10 +220,10 @@
 
 // doubtful lists the services on machines that have gone silent: the machines to
 // take them over boot while the proof that they are gone is waited for.
-func (l *lead) doubtful() []*scheduler.Demand {
+func (l *leader) replacements() []*scheduler.Demand {
 	var ds []*scheduler.Demand
 	for _, m := range l.fleetOrder {
-		suspected := max(l.silence(m), l.deafFor(m)) > l.patience() || l.cut[m.zone] && l.silent(m)
+		suspected := max(l.sinceHeartbeat(m), l.unreachableFor(m)) > l.suspectAfter() || l.partitioned[m.zone] && l.unresponsive(m)
 		if !m.up || m.leaseOut || !suspected {
 			continue
 		}
@@ -239,7 +239,7 @@
 
 // patience is how long a machine may be silent before it is suspected: a share of
 // its lease, but never less than a report may take.
-func (l *lead) patience() time.Duration {
+func (l *leader) suspectAfter() time.Duration {
 	return max(config.Seconds(l.c.op.SilentShare*l.c.cfg.Facts.Workers.LeaseS), l.reportDue(time.Second))
 }
 
--- a/controller/users.go
+++ b/controller/users.go
@@ -11,11 +11,11 @@
 // finals remembers jobs that are over. A final state never changes, so it can
 // be told without asking the state service.
 type finals struct {
-	jobs  map[string]finalRecord
-	order []string
-	asks  map[string][]*finalAsk // questions whose read has not been sent yet
-	queue []string               // their jobs, first come first served
-	later bool                   // a timer goes on with the queue
+	jobs     map[string]finalRecord
+	order    []string
+	asks     map[string][]*finalAsk // questions whose read has not been sent yet
+	queue    []string               // their jobs, first come first served
+	timerSet bool                   // a timer goes on with the queue
 }
 
 // finalAsk is a question that waits for its turn to read a final record.
@@ -32,8 +32,8 @@
 }
 
 const (
-	maxFinalAsks  = 512
-	finalPatience = time.Second // users wait for two
+	maxFinalAsks     = 512
+	finalReadTimeout = time.Second // users wait for two
 )
 
 const maxFinals = 4096
@@ -72,7 +72,7 @@
 	case UserSubmit:
 		c.submit(r)
 	case UserPoll:
-		c.lookup(r.Job, func(k known) { c.tell(r, k, http.StatusNotFound) })
+		c.lookup(r.Job, func(k known) { c.answerState(r, k, http.StatusNotFound) })
 	case UserAbort:
 		c.abort(r, 3)
 	}
@@ -85,7 +85,7 @@
 			c.answer(r.Req, http.StatusOK, struct{}{})
 			return
 		}
-		c.later(r.Req, "state service not reached or machine types not known")
+		c.retryLater(r.Req, "state service not reached or machine types not known")
 	})
 }
 
@@ -128,7 +128,7 @@
 	}
 	ask := &finalAsk{fn: fn}
 	f.asks[job] = append(f.asks[job], ask)
-	c.after(finalPatience, func() { ask.tell(knownUnsure) })
+	c.after(finalReadTimeout, func() { ask.tell(knownUnsure) })
 	c.readFinals()
 }
 
@@ -146,7 +146,7 @@
 			k := knownUnsure
 			switch {
 			case r.Status == http.StatusOK && rec != nil:
-				c.over(job, *rec)
+				c.jobEnded(job, *rec)
 				k = knownFinal
 			case r.Status == http.StatusNotFound:
 				k = knownNot
@@ -156,26 +156,26 @@
 			}
 		})
 	}
-	if len(f.queue) > 0 && !f.later {
-		f.later = true
+	if len(f.queue) > 0 && !f.timerSet {
+		f.timerSet = true
 		c.after(10*time.Millisecond, func() {
-			f.later = false
+			f.timerSet = false
 			c.readFinals()
 		})
 	}
 }
 
 // tell answers with the job's state, or with unknown where nobody submitted it.
-func (c *Core) tell(r UserRequest, k known, unknown int) {
+func (c *Core) answerState(r UserRequest, k known, unknown int) {
 	switch k {
 	case knownNot:
 		if unknown == http.StatusServiceUnavailable {
-			c.later(r.Req, "can't decide yet")
+			c.retryLater(r.Req, "can't decide yet")
 			return
 		}
 		c.answer(r.Req, unknown, wire.Error{Error: "no such job"})
 	case knownUnsure:
-		c.later(r.Req, "state service not reached")
+		c.retryLater(r.Req, "state service not reached")
 	default:
 		c.answer(r.Req, http.StatusOK, c.jobState(r.Job))
 	}
@@ -207,25 +207,25 @@
 	job, id, err := wire.ParseJob(r.Body)
 	r.Job = id
 	if _, over := c.final.jobs[id]; over || c.control.headers[id] != nil {
-		c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+		c.lookup(id, func(k known) { c.answerState(r, k, http.StatusServiceUnavailable) })
 		return // a repeat takes no share of the writes
 	}
 	limits := c.cfg.Facts.State.Tightest()
-	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: perChunk(limits.ValueKB)}
+	h := headerRecord{Job: job, AcceptedMS: c.now.UnixMilli(), PerChunk: tasksPerRecord(limits.ValueKB)}
 	tooBig := !fits(wire.Marshal(h), headerRoom, limits.ValueKB)
 	switch {
 	case err != nil || tooBig:
-		c.lookup(id, func(k known) { c.tell(r, k, http.StatusBadRequest) })
+		c.lookup(id, func(k known) { c.answerState(r, k, http.StatusBadRequest) })
 	case len(c.types) == 0:
-		c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+		c.lookup(id, func(k known) { c.answerState(r, k, http.StatusServiceUnavailable) })
 	case !c.canRun(&job):
-		c.lookup(id, func(k known) { c.tell(r, k, http.StatusUnprocessableEntity) })
-	case !c.control.loaded || c.control.unreached:
-		c.later(r.Req, "state service not reached")
+		c.lookup(id, func(k known) { c.answerState(r, k, http.StatusUnprocessableEntity) })
+	case !c.control.loaded || c.control.unreachable:
+		c.retryLater(r.Req, "state service not reached")
 	case len(job.Needs) == 0:
 		c.accept(r, h, nil)
 	case !c.allRun(firstVersionWithChains):
-		c.later(r.Req, "an earlier version may still run")
+		c.retryLater(r.Req, "an earlier version may still run")
 	default:
 		c.needs(r, &job, func(cancelled bool, conds []wire.Cond) {
 			h.Cancelled = cancelled
@@ -238,7 +238,7 @@
 func (c *Core) accept(r UserRequest, h headerRecord, conds []wire.Cond) {
 	id := h.Job.ID
 	if !c.writes.AllowN(c.now, 1) {
-		c.turnAway(r, &h.Job)
+		c.rejectSubmission(r, &h.Job)
 		return
 	}
 	raw := wire.Marshal(h)
@@ -256,11 +256,11 @@
 			}
 			c.answer(r.Req, http.StatusCreated, state)
 		case http.StatusConflict: // known by now, or what it needs has changed
-			c.lookup(id, func(k known) { c.tell(r, k, http.StatusServiceUnavailable) })
+			c.lookup(id, func(k known) { c.answerState(r, k, http.StatusServiceUnavailable) })
 		case http.StatusTooManyRequests:
-			c.turnAway(r, &h.Job)
+			c.rejectSubmission(r, &h.Job)
 		default:
-			c.later(r.Req, "state service not reached")
+			c.retryLater(r.Req, "state service not reached")
 		}
 	})
 }
@@ -291,11 +291,11 @@
 	c.lookup(r.Job, func(k known) {
 		h := c.control.headers[r.Job]
 		if k != knownActive || c.withdrawn(r.Job) {
-			c.tell(r, k, http.StatusNotFound)
+			c.answerState(r, k, http.StatusNotFound)
 			return
 		}
 		if tries == 0 || !c.writes.AllowN(c.now, 1) {
-			c.later(r.Req, "too many changes")
+			c.retryLater(r.Req, "too many changes")
 			return
 		}
 		raw := cancelledHeader(*h, c.cfg.Facts.State.Tightest().ValueKB)
@@ -311,7 +311,7 @@
 			case http.StatusConflict:
 				c.abort(r, tries-1)
 			default:
-				c.later(r.Req, "state service not reached")
+				c.retryLater(r.Req, "state service not reached")
 			}
 		})
 	})
--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -49,7 +49,7 @@
 
 // continuing is a leader that takes over what an earlier version has written, with coming
 // limits that are far below what it was written by.
-func continuing(t *testing.T, name string) (*Core, *lead, fixture) {
+func continuing(t *testing.T, name string) (*Core, *leader, fixture) {
 	t.Helper()
 	c, _, _ := leading(t)
 	p := readFixture(t, name)
@@ -65,7 +65,7 @@
 		switch {
 		case strings.HasPrefix(key, taskPrefix):
 			tasks = append(tasks, wire.Item{Key: key, Value: raw, Version: version})
-		case strings.HasPrefix(key, hirePrefix):
+		case strings.HasPrefix(key, rentalPrefix):
 			hires = append(hires, wire.Item{Key: key, Value: raw, Version: version})
 		case strings.HasPrefix(key, controlPrefix) && key != leaderKey && key != tokenKey:
 			c.applyControl(wire.Event{Put: key, Value: raw, Version: version})
@@ -86,13 +86,13 @@
 func TestContinuesFromBeforeChains(t *testing.T) {
 	c, l, p := continuing(t, beforeChains)
 	j := l.jobs["req-000001"]
-	if j == nil || j.per != 204 || len(j.attempts) != 185 || j.state.Count(reduction.Completed) != 11 || j.accepted.UnixMilli() != 1893456000000 {
+	if j == nil || j.tasksPerRecord != 204 || len(j.attempts) != 185 || j.state.Count(reduction.Completed) != 11 || j.accepted.UnixMilli() != 1893456000000 {
 		t.Fatalf("%+v", j)
 	}
 	if off := l.jobs["req-000002"]; off == nil || !off.cancelled || !off.dirty {
 		t.Errorf("the cancelled job: %+v", off)
 	}
-	if h := l.fleet.hires["r-6-1"]; h == nil || !h.answered || len(h.machines) != 2 || l.machines["i-000031"] == nil {
+	if h := l.fleet.rentals["r-6-1"]; h == nil || !h.answered || len(h.machines) != 2 || l.machines["i-000031"] == nil {
 		t.Errorf("the rental: %+v", h)
 	}
 	if len(c.types) != 1 {
@@ -110,14 +110,14 @@
 	j := l.jobs["req-000001"]
 	end := func(task int) {
 		l.gone(j.attempts[task], reduction.Succeeded, "done")
-		j.pressing = true
+		j.urgent = true
 	}
 	end(150)
 	members(c, thisVersion)
 	c.control.members["n2"] = 0 // not upgraded yet
 	w := l.compose(j)
-	if j.small || len(w.txn.Then) != 1 || w.txn.Then[0].Put != chunkKey(j.id, 0) {
-		t.Fatalf("small %v, writes %+v", j.small, w.txn.Then)
+	if j.divided || len(w.txn.Then) != 1 || w.txn.Then[0].Put != chunkKey(j.id, 0) {
+		t.Fatalf("small %v, writes %+v", j.divided, w.txn.Then)
 	}
 	j.undo(w)
 	members(c, thisVersion)
@@ -130,8 +130,8 @@
 		j.write = w
 		l.confirm(j, uint64(50+len(changes)))
 	}
-	if !j.small || len(changes) == 0 {
-		t.Fatalf("small %v, writes %+v", j.small, changes)
+	if !j.divided || len(changes) == 0 {
+		t.Fatalf("small %v, writes %+v", j.divided, changes)
 	}
 	for _, change := range changes {
 		if wire.Size(change.Value) > 2048 || !strings.HasPrefix(change.Put, taskPrefix+j.id+"/s") {
@@ -160,11 +160,11 @@
 		t.Errorf("task 150 is %v, %d attempts", again.state.Status(150), len(again.attempts))
 	}
 	for task, a := range again.attempts {
-		if next := again.chunks[task/again.per].next; a.number > next {
+		if next := again.chunks[task/again.tasksPerRecord].next; a.number > next {
 			t.Fatalf("task %d has attempt %d, the next ones count from %d", task, a.number, next)
 		}
 	}
-	if n := len(again.larger); n != 2 {
+	if n := len(again.undividedKeys); n != 2 {
 		t.Errorf("%d larger records to remove in the end", n)
 	}
 }
@@ -174,14 +174,14 @@
 func TestContinuesFromFirstChains(t *testing.T) {
 	c, l, p := continuing(t, firstChains)
 	first := l.jobs["req-000010"]
-	if first == nil || first.state.Count(reduction.Completed) != 2 || len(first.attempts) != 1 || l.held(first) {
+	if first == nil || first.state.Count(reduction.Completed) != 2 || len(first.attempts) != 1 || l.blocked(first) {
 		t.Fatalf("the first job of the chain: %+v", first)
 	}
 	if first.terms.Rank != 1 || first.due.last == nil || first.due.last.ID != "req-000012" {
 		t.Errorf("the first job has rank %d and the deadline %+v", first.terms.Rank, first.due)
 	}
 	for _, id := range []string{"req-000011", "req-000012", "req-000015"} {
-		if j := l.jobs[id]; j == nil || !l.held(j) || j.cancelled {
+		if j := l.jobs[id]; j == nil || !l.blocked(j) || j.cancelled {
 			t.Errorf("%s, which waits: %+v", id, j)
 		}
 	}
@@ -190,12 +190,12 @@
 			t.Errorf("%s, which is cancelled: %+v", id, j)
 		}
 	}
-	c.over("req-000003", *decode[finalRecord](p.Records[finalKey("req-000003")]))
-	if !l.held(l.jobs["req-000015"]) {
+	c.jobEnded("req-000003", *decode[finalRecord](p.Records[finalKey("req-000003")]))
+	if !l.blocked(l.jobs["req-000015"]) {
 		t.Error("req-000015 is released while req-000010 runs")
 	}
 	divided := l.jobs["req-000001"]
-	if !divided.small || divided.state.Status(12) != reduction.Completed || divided.attempts[20] == nil || divided.attempts[30] == nil {
+	if !divided.divided || divided.state.Status(12) != reduction.Completed || divided.attempts[20] == nil || divided.attempts[30] == nil {
 		t.Errorf("the job with divided records: %+v", divided)
 	}
 }
@@ -220,8 +220,8 @@
 		return wire.Marshal(decode[finalRecord](raw))
 	case strings.HasPrefix(key, taskPrefix):
 		return wire.Marshal(decode[taskRecord](raw))
-	case strings.HasPrefix(key, hirePrefix):
-		return wire.Marshal(decode[hireRecord](raw))
+	case strings.HasPrefix(key, rentalPrefix):
+		return wire.Marshal(decode[rentalRecord](raw))
 	case strings.HasPrefix(key, versionPrefix):
 		return wire.Marshal(decode[versionRecord](raw))
 	case key == leaderKey:
@@ -286,7 +286,7 @@
 	if f := decode[oldFinal](wire.Marshal(finalRecord{Tasks: 3, EndedMS: 7})); f == nil || f.Tasks != 3 || f.Cancelled {
 		t.Errorf("a final record: %+v", f)
 	}
-	for _, key := range []string{versionPrefix + "n1", smallKey("req-000009", 2)} {
+	for _, key := range []string{versionPrefix + "n1", dividedChunkKey("req-000009", 2)} {
 		if strings.HasPrefix(key, headerPrefix) || key == leaderKey || key == tokenKey || key == typesKey {
 			t.Errorf("version 1 takes %s for something else", key)
 		}
--- a/reduction/growing.go
+++ b/reduction/growing.go
@@ -6,10 +6,10 @@
 // and go when they are over and nothing needs them. A node may be named before it comes
 // itself. Outcomes accumulate and failures close as on a fixed graph; since every edge
 // is seen when its later end comes, each call costs as much as it changes.
-type Growing struct{ nodes map[string]*grown }
+type DynamicGraph struct{ nodes map[string]*dynamicNode }
 
 // grown is one node. Once added it has its edges.
-type grown struct {
+type dynamicNode struct {
 	status     Status
 	added      bool
 	pred, succ []string
@@ -17,19 +17,19 @@
 }
 
 // NewGrowing returns a graph without nodes.
-func NewGrowing() *Growing { return &Growing{nodes: map[string]*grown{}} }
+func NewDynamicGraph() *DynamicGraph { return &DynamicGraph{nodes: map[string]*dynamicNode{}} }
 
-func (g *Growing) node(id string) *grown {
+func (g *DynamicGraph) node(id string) *dynamicNode {
 	n := g.nodes[id]
 	if n == nil {
-		n = &grown{}
+		n = &dynamicNode{}
 		g.nodes[id] = n
 	}
 	return n
 }
 
 // Add brings a node with its predecessors. It returns the nodes that fail by it.
-func (g *Growing) Add(id string, pred []string) []string {
+func (g *DynamicGraph) Add(id string, pred []string) []string {
 	n := g.node(id)
 	if n.added {
 		return nil
@@ -54,7 +54,7 @@
 // Accumulate applies the outcome of a node to it, and closes failures downstream. It
 // returns the nodes that are ready or failed by it. A node that nothing needs and that
 // needs nothing is not kept.
-func (g *Growing) Accumulate(id string, o Outcome) []string {
+func (g *DynamicGraph) Accumulate(id string, o Outcome) []string {
 	n := g.nodes[id]
 	if n == nil || n.status != Pending {
 		return nil
@@ -76,7 +76,7 @@
 
 // close fails every pending descendant of a failed node and lists them. It goes on only
 // from what it fails: the rest is closed already.
-func (g *Growing) close(n *grown) []string {
+func (g *DynamicGraph) close(n *dynamicNode) []string {
 	var failed []string
 	for _, s := range n.succ {
 		if to := g.nodes[s]; to.status == Pending {
@@ -88,7 +88,7 @@
 }
 
 // Status returns the status of a node; one that is not there is pending.
-func (g *Growing) Status(id string) Status {
+func (g *DynamicGraph) Status(id string) Status {
 	if n := g.nodes[id]; n != nil {
 		return n.status
 	}
@@ -96,7 +96,7 @@
 }
 
 // Classify tells whether a node can be released, waits for its predecessors or is settled.
-func (g *Growing) Classify(id string) Verdict {
+func (g *DynamicGraph) Classify(id string) Verdict {
 	switch n := g.nodes[id]; {
 	case n == nil || n.status == Pending && n.open == 0:
 		return Progressing
@@ -107,7 +107,7 @@
 }
 
 // Successors lists the nodes that need a node.
-func (g *Growing) Successors(id string) []string {
+func (g *DynamicGraph) Successors(id string) []string {
 	if n := g.nodes[id]; n != nil {
 		return n.succ
 	}
@@ -116,7 +116,7 @@
 
 // Drop takes in that a node is over and needs its predecessors no more. Its status
 // stays for as long as something needs it.
-func (g *Growing) Drop(id string) {
+func (g *DynamicGraph) Drop(id string) {
 	n := g.nodes[id]
 	if n == nil {
 		return
--- a/reduction/growing_test.go
+++ b/reduction/growing_test.go
@@ -23,7 +23,7 @@
 		}
 		// Nodes come in any order; outcomes come once a node is there, in any order too.
 		order := rapid.Permutation(upTo(n)).Draw(t, "order")
-		g := NewGrowing()
+		g := NewDynamicGraph()
 		outcome := map[int]Outcome{}
 		there := map[int]bool{}
 		told := map[string]bool{} // what Add and Accumulate have said
@@ -55,7 +55,7 @@
 }
 
 // agree compares with a fixed graph of the nodes that have come.
-func agree(t *rapid.T, g *Growing, n int, pred [][]int, there map[int]bool, outcome map[int]Outcome, told map[string]bool) {
+func agree(t *rapid.T, g *DynamicGraph, n int, pred [][]int, there map[int]bool, outcome map[int]Outcome, told map[string]bool) {
 	var edges [][2]int
 	for v := range n {
 		for _, p := range pred[v] {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,9 +67,9 @@
 // Victim is a task that could be preempted.
 type Victim struct {
 	*Terms
-	Task  int
-	Since time.Time // running since; zero: not running
-	Kept  bool      // came after waiting its turn: gives way to higher priority alone
+	Task        int
+	Since       time.Time // running since; zero: not running
+	PlacedByAge bool      // came after waiting its turn: gives way to higher priority alone
 }
 
 // lost is the work, in seconds, that stopping the task now loses.
@@ -100,13 +100,13 @@
 	Rank             int
 	Service          bool
 	Gang             bool           // all tasks at once or none
-	Patient          bool           // too late for its aim on starting: what suits others counts before speed
-	Loose            bool           // emptiest machines first, to have images in many places
-	Others           []Resources    // what tasks of other classes take
-	Within           bool           // within its team's guarantee
+	WaitForBooting   bool           // too late for its aim on starting: what suits others counts before speed
+	SpreadImages     bool           // emptiest machines first, to have images in many places
+	OtherClasses     []Resources    // what tasks of other classes take
+	WithinGuarantee  bool           // within its team's guarantee
 	AgeS             float64        // since submission
 	Begun            bool           // a task has run
-	Waited           bool           // for so long that waiting wins, see Turns
+	Aged             bool           // for so long that waiting wins, see Turns
 	Late             int            // aims on finishing that it can't meet any more
 	WorkS            float64        // what is left of it: sizes of tasks times seconds
 	InZone           map[string]int // tasks in force by zone
@@ -152,14 +152,14 @@
 // the others, the oldest first.
 func Order(ds []*Demand) {
 	slices.SortStableFunc(ds, func(a, b *Demand) int {
-		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(b.turn(), a.turn()), cmp.Compare(flag(!a.Within), flag(!b.Within)),
+		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(b.agedBy(), a.agedBy()), cmp.Compare(flag(!a.WithinGuarantee), flag(!b.WithinGuarantee)),
 			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Late, b.Late), cmp.Compare(a.WorkS, b.WorkS), cmp.Compare(b.AgeS, a.AgeS), cmp.Compare(a.Job, b.Job))
 	})
 }
 
 // turn is the age of a demand that has waited its turn.
-func (d *Demand) turn() float64 {
-	if d.Waited {
+func (d *Demand) agedBy() float64 {
+	if d.Aged {
 		return d.AgeS
 	}
 	return 0
@@ -169,18 +169,18 @@
 // the largest jobs for as long as smaller ones come. What has waited for too long
 // comes first, but takes no more than the reserve, a size, that is left for
 // such work, or one task to begin with; the rest of it keeps its place.
-func Turns(ds []*Demand, reserve float64) []*Demand {
+func OrderWithAging(ds []*Demand, reserve float64) []*Demand {
 	var out []*Demand
-	slices.SortStableFunc(ds, func(a, b *Demand) int { return cmp.Compare(b.turn(), a.turn()) })
+	slices.SortStableFunc(ds, func(a, b *Demand) int { return cmp.Compare(b.agedBy(), a.agedBy()) })
 	for _, d := range ds {
 		n, size := len(d.Tasks), d.Measure.Of(d.Each)
-		if d.Waited && urgent(d) > 0 && !d.Gang && size > 0 {
+		if d.Aged && urgent(d) > 0 && !d.Gang && size > 0 {
 			n = min(n, max(int(reserve/size), 1-flag(d.Begun)))
 			reserve -= float64(n) * size
 		}
 		if n < len(d.Tasks) {
 			rest := *d
-			rest.Tasks, rest.Waited = d.Tasks[n:], false
+			rest.Tasks, rest.Aged = d.Tasks[n:], false
 			out = append(out, &rest)
 			d.Tasks = d.Tasks[:n]
 		}
@@ -195,7 +195,7 @@
 // Hold keeps machines free of other work until a demand that can't start
 // piecemeal, all tasks of a gang or one task that needs most of a machine, fits:
 // smaller work would take every core as it comes free.
-func Hold(machines []*Machine, d *Demand) {
+func ReserveFor(machines []*Machine, d *Demand) {
 	want := 1
 	if d.Gang {
 		want = len(d.Tasks)
@@ -284,11 +284,11 @@
 // would do.
 type candidate struct {
 	*Machine
-	uncached, ordinary, crowded int
+	uncached, ordinary, displaced int
 }
 
 func (d *Demand) candidate(m *Machine) candidate {
-	return candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), d.crowds(m)}
+	return candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), d.displaced(m)}
 }
 
 // prefer orders machines for one task. Alike otherwise, the one comes first where
@@ -296,13 +296,13 @@
 // be returned, or for a loose demand the emptiest.
 func (d *Demand) prefer(a, b candidate) int {
 	c := cmp.Compare(a.Penalty, b.Penalty)
-	if d.Patient {
-		c = cmp.Or(c, cmp.Compare(a.crowded, b.crowded))
+	if d.WaitForBooting {
+		c = cmp.Or(c, cmp.Compare(a.displaced, b.displaced))
 	}
 	c = cmp.Or(c, cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary),
-		cmp.Compare(a.crowded, b.crowded))
+		cmp.Compare(a.displaced, b.displaced))
 	fuller := cmp.Compare(d.Measure.Of(a.Free), d.Measure.Of(b.Free))
-	if d.Loose {
+	if d.SpreadImages {
 		fuller = -fuller
 	}
 	return cmp.Or(c, fuller, cmp.Compare(a.ID, b.ID))
@@ -312,13 +312,13 @@
 // it has one more of this demand: two small services side by side leave room
 // for one more large task than the same two on two machines. Where the image is
 // missing it had better come to many machines, of a type that others can't use.
-func (d *Demand) crowds(m *Machine) int {
+func (d *Demand) displaced(m *Machine) int {
 	n := 0
-	if d.Patient || d.Loose && !m.Images[d.Image] {
+	if d.WaitForBooting || d.SpreadImages && !m.Images[d.Image] {
 		return flag(d.suitsOthers(m.Cap))
 	}
 	after := m.Free.Add(d.Each, -1)
-	for _, o := range d.Others {
+	for _, o := range d.OtherClasses {
 		n += m.Free.Fits(o) - after.Fits(o)
 	}
 	return n
@@ -326,7 +326,7 @@
 
 // suitsOthers tells whether a machine of that size takes tasks of other classes.
 func (d *Demand) suitsOthers(size Resources) bool {
-	return slices.ContainsFunc(d.Others, func(o Resources) bool { return size.Fits(o) > 0 })
+	return slices.ContainsFunc(d.OtherClasses, func(o Resources) bool { return size.Fits(o) > 0 })
 }
 
 // ranking is a heap of candidates, the preferred one on top.
@@ -388,7 +388,7 @@
 		if m.Images[d.Image] {
 			r.cached += n
 		}
-		if len(d.Others) > 0 && (d.Patient || m.Images[d.Image]) && !d.suitsOthers(m.Cap) {
+		if len(d.OtherClasses) > 0 && (d.WaitForBooting || m.Images[d.Image]) && !d.suitsOthers(m.Cap) {
 			r.apart += n
 		}
 	}
@@ -437,7 +437,7 @@
 }
 
 // yield is what a machine would lose by taking one more task.
-type yield struct {
+type preemption struct {
 	m    *Machine
 	loss float64
 }
@@ -469,10 +469,10 @@
 // those that get room: by it, or because it is becoming free already. What it stops
 // is taken off the excess.
 func Preempt(machines []*Machine, d *Demand, missing int, excess Excess, now time.Time) (victims []Victim, room int) {
-	var yields []yield
+	var yields []preemption
 	consider := func(m *Machine) {
 		if vs, loss := choose(m, d, m.Free.Add(m.Soon, 1), excess, now); vs != nil {
-			yields = append(yields, yield{m, loss})
+			yields = append(yields, preemption{m, loss})
 		}
 	}
 	inZone := maps.Clone(d.InZone)
@@ -504,7 +504,7 @@
 		// What was stopped elsewhere since may have used up a team's excess.
 		vs, loss := choose(y.m, d, y.m.Free.Add(y.m.Soon, 1), excess, now)
 		if loss > y.loss {
-			yields = append(yields, yield{y.m, loss})
+			yields = append(yields, preemption{y.m, loss})
 		}
 		if vs == nil || loss > y.loss {
 			continue
@@ -526,7 +526,7 @@
 func choose(m *Machine, d *Demand, free Resources, excess Excess, now time.Time) ([]Victim, float64) {
 	var vs []Victim
 	for _, v := range m.Tasks {
-		if v.Rank > d.Rank || d.Within && v.Borrowed && !v.Kept && v.Team != d.Team {
+		if v.Rank > d.Rank || d.WithinGuarantee && v.Borrowed && !v.PlacedByAge && v.Team != d.Team {
 			vs = append(vs, v)
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -41,7 +41,7 @@
 		d.RoomInTeam = rapid.IntRange(0, 12).Draw(t, "room")
 		d.Spread, d.Spot, d.Gang = rapid.Bool().Draw(t, "spread"), rapid.Bool().Draw(t, "lend"), rapid.Bool().Draw(t, "gang")
 		d.OneZone = !d.Spread && rapid.Bool().Draw(t, "one zone")
-		d.Loose, d.CachedOnly = rapid.Bool().Draw(t, "loose"), rapid.Bool().Draw(t, "cached only")
+		d.SpreadImages, d.CachedOnly = rapid.Bool().Draw(t, "loose"), rapid.Bool().Draw(t, "cached only")
 		placed := Place(ms, d)
 		if len(placed) > min(len(d.Tasks), d.RoomInTeam) || d.Gang && len(placed) > 0 && len(placed) < len(d.Tasks) {
 			t.Fatalf("placed %d", len(placed))
@@ -90,8 +90,8 @@
 	ms := machines(2, "x", 16)
 	ms[0].Images["img"], ms[1].Images["img"] = true, true
 	d := demand(2, 2)
-	d.Loose, d.Others = true, []Resources{{CPUs: 4}}
-	if Place(ms, d); ms[0].Free.Fits(d.Others[0])+ms[1].Free.Fits(d.Others[0]) != 7 {
+	d.SpreadImages, d.OtherClasses = true, []Resources{{CPUs: 4}}
+	if Place(ms, d); ms[0].Free.Fits(d.OtherClasses[0])+ms[1].Free.Fits(d.OtherClasses[0]) != 7 {
 		t.Fatalf("free %v and %v", ms[0].Free, ms[1].Free)
 	}
 }
@@ -100,7 +100,7 @@
 func TestLoosePlacementSpreadsANewImage(t *testing.T) {
 	ms := machines(2, "x", 16)
 	d := demand(2, 2)
-	d.Loose, d.Others = true, []Resources{{CPUs: 4}}
+	d.SpreadImages, d.OtherClasses = true, []Resources{{CPUs: 4}}
 	for _, m := range ms {
 		m.Part = "one"
 	}
@@ -112,9 +112,9 @@
 func TestOrder(t *testing.T) {
 	names := []string{"service", "within", "small", "large", "late", "borrowed"}
 	ds := []*Demand{
-		{Job: "borrowed", Rank: 2}, {Job: "late", Rank: 2, Within: true, Late: 1}, {Job: "large", Rank: 2, Within: true, WorkS: 9},
-		{Job: "service", Rank: 2, Service: true, Within: true}, {Job: "small", Rank: 2, Within: true, WorkS: 5},
-		{Job: "within", Rank: 1, Within: true, WorkS: 100},
+		{Job: "borrowed", Rank: 2}, {Job: "late", Rank: 2, WithinGuarantee: true, Late: 1}, {Job: "large", Rank: 2, WithinGuarantee: true, WorkS: 9},
+		{Job: "service", Rank: 2, Service: true, WithinGuarantee: true}, {Job: "small", Rank: 2, WithinGuarantee: true, WorkS: 5},
+		{Job: "within", Rank: 1, WithinGuarantee: true, WorkS: 100},
 	}
 	Order(ds)
 	for i, d := range ds {
@@ -137,7 +137,7 @@
 			m.Tasks = []Victim{{Terms: terms, Task: i}}
 		}
 		d := demand(6, 4)
-		d.Rank, d.Team, d.Within = 2, "red", true
+		d.Rank, d.Team, d.WithinGuarantee = 2, "red", true
 		if vs, _ := Preempt(ms, d, 6, Excess{"blue": {CPUs: c.excess}}, time.Time{}); len(vs) != c.want {
 			t.Errorf("%d tasks of 4 cores stopped for an excess of %v, want %d", len(vs), c.excess, c.want)
 		}
@@ -167,7 +167,7 @@
 		"higher priority, borrowed": {Terms{Rank: 0, Team: "blue", Borrowed: true}, true, true},
 		"higher priority, its own":  {Terms{Rank: 0, Team: "blue"}, true, false},
 	} {
-		d.Within = c.within
+		d.WithinGuarantee = c.within
 		vs, room := Preempt(full(c.victim), d, 1, Excess{"blue": {CPUs: 4}, "red": {CPUs: 4}}, time.Time{})
 		if room == 1 != c.want || len(vs) > 0 != c.want {
 			t.Errorf("%s: %v %v", name, vs, room)
@@ -253,7 +253,7 @@
 			if len(l.Tasks) > 0 {
 				d := *l
 				d.AgeS, d.Begun, d.InZone = float64(round), served[l.Job] > 0, map[string]int{}
-				d.Waited = round > 80 && !d.Begun || round > 120
+				d.Aged = round > 80 && !d.Begun || round > 120
 				d.RoomInTeam = len(d.Tasks)
 				ds = append(ds, &d)
 			}
@@ -262,13 +262,13 @@
 		for i, m := range ms {
 			now[i] = m.Free
 		}
-		for _, d := range Turns(ds, max(reserve, 0)) {
+		for _, d := range OrderWithAging(ds, max(reserve, 0)) {
 			ps := Place(ms, d)
 			for _, p := range ps {
 				running = append(running, busy{p.Machine, d.Each, round + 7, d.AgeS > 120})
 			}
-			if d.Waited && len(ps) == 0 {
-				Hold(ms, d)
+			if d.Aged && len(ps) == 0 {
+				ReserveFor(ms, d)
 			}
 			for _, l := range large {
 				if l.Job == d.Job && len(ps) > 0 {
@@ -340,7 +340,7 @@
 		terms := &Terms{Job: "b", Team: "blue", Rank: 2, Borrowed: true, Each: each}
 		m.Tasks = []Victim{{Terms: terms, Task: 0}, {Terms: terms, Task: 1}}
 		d := demand(1, 4)
-		d.Each.GPUs, d.Rank, d.Team, d.Within = c.gpus, 2, "red", true
+		d.Each.GPUs, d.Rank, d.Team, d.WithinGuarantee = c.gpus, 2, "red", true
 		vs, _ := Preempt([]*Machine{m}, d, 1, Excess{"blue": c.excess}, time.Time{})
 		if len(vs) != c.want {
 			t.Errorf("excess %v: %d tasks stopped for %v GPUs, want %d", c.excess, len(vs), c.gpus, c.want)
@@ -406,7 +406,7 @@
 			}
 		}
 		d := demand(rapid.IntRange(1, 6).Draw(t, "tasks"), 4)
-		d.Each.GPUs, d.Rank, d.Team, d.Within = float64(rapid.IntRange(1, 3).Draw(t, "gpus")), 2, "green", true
+		d.Each.GPUs, d.Rank, d.Team, d.WithinGuarantee = float64(rapid.IntRange(1, 3).Draw(t, "gpus")), 2, "green", true
 		before := maps.Clone(use)
 		victims, _ := Preempt(ms, d, len(d.Tasks), excess, time.Time{})
 		for _, v := range victims {
