--- a/controller/listing.go
+++ b/controller/cloud_listing.go
@@ -10,6 +10,8 @@
 	"pumicefront/wire"
 )
 
+// What the cloud tells of machine types and machines.
+
 // refreshTypes learns the machine types and hands them to the other controllers.
 func (l *leader) refreshTypes() {
 	f := &l.fleet
--- a/controller/returns.go
+++ b/controller/consolidation.go
@@ -1,104 +1,16 @@
 package controller
 
 import (
-	"cmp"
 	"log/slog"
 	"maps"
-	"net/http"
 	"slices"
 	"time"
 
-	"pumicefront/config"
-	"pumicefront/reduction"
 	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
-// returnSpare gives back machines that are not needed, the dearest first.
-func (l *leader) returnSpare() {
-	spare := l.spare()
-	slices.SortStableFunc(spare, func(a, b *machine) int { return cmp.Compare(l.price(b), l.price(a)) })
-	for _, m := range spare[:min(len(spare), max(returnMost, len(l.machines)/returnShare))] {
-		l.release(m, "idle")
-	}
-}
-
-// returnMachines gives back what never came up, what has gone silent and what
-// was found not to be needed.
-func (l *leader) returnMachines() {
-	f := &l.fleet
-	if f.releasing {
-		return
-	}
-	l.releaseFailed()
-	var names []string
-	for _, m := range l.fleetOrder {
-		if m.releasing && len(names) < 100 {
-			names = append(names, m.id)
-		}
-	}
-	if len(names) == 0 {
-		return
-	}
-	f.releasing = l.call(CloudCall{Op: CloudRelease, Names: names}, func(r CloudReply) {
-		f.releasing = false
-		if r.Status != http.StatusOK {
-			return
-		}
-		for _, id := range names {
-			l.forgetMachine(id)
-		}
-	})
-}
-
-func (l *leader) release(m *machine, why string) {
-	if m.releasing {
-		return
-	}
-	m.releasing = true
-	l.c.log(slog.LevelInfo, "releasing machine", "machine", m.id, "why", why, "tasks", len(m.attempts))
-}
-
-// forgetMachine takes in that a machine and everything on it is gone.
-func (l *leader) forgetMachine(id string) {
-	m := l.machines[id]
-	if m == nil {
-		return
-	}
-	l.released[id] = l.c.now
-	for _, a := range m.list {
-		l.gone(a, reduction.Reset, "machine released")
-	}
-	delete(l.machines, id)
-	l.fleetOrder = slices.DeleteFunc(l.fleetOrder, func(o *machine) bool { return o == m })
-}
-
-// spare lists idle machines that neither what waits nor the headroom has use for:
-// those that stay empty when all of it is placed, the fullest machines first.
-func (l *leader) spare() []*machine {
-	var idle []*machine
-	for _, m := range l.fleetOrder {
-		// A machine is charged for a minute at least: before that nothing is saved.
-		if m.up && !m.releasing && len(m.attempts)+len(m.unknownAttempts) == 0 && (m.consolidating || l.c.now.Sub(m.rented) >= leastCharge &&
-			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS)) && !l.unresponsive(m) {
-			idle = append(idle, m)
-		}
-	}
-	if len(l.c.types) == 0 || len(idle) == 0 {
-		return nil
-	}
-	machines := l.view(true)
-	demands := append(l.backlog(), l.headroom()...)
-	scheduler.Order(demands)
-	needed := map[string]bool{}
-	for _, d := range demands {
-		d.SpreadImages = false
-		for _, p := range scheduler.Place(machines, d) {
-			needed[p.Machine.ID] = true
-		}
-	}
-	return slices.DeleteFunc(idle, func(m *machine) bool { return needed[m.id] })
-}
+// Consolidation: few replicas on a dear machine move to others, and it is returned.
 
 // gatherEvery is how often a machine is looked for whose replicas have room elsewhere.
 const consolidateEvery = 2 * time.Second
@@ -107,7 +19,7 @@
 // that is stopped sooner was none.
 const settledFor = 60 * time.Second
 
-// gather empties the machine whose money is spent on fewest replicas, when all of
+// consolidate empties the machine whose money is spent on fewest replicas, when all of
 // them have room on machines that are in use anyway and have their images, and
 // nothing else has use for the machine. A move costs its user a fraction of a second.
 func (l *leader) consolidate() {
@@ -168,7 +80,7 @@
 	})
 }
 
-// roomWithout tells whether the others have room for what a machine runs, where its
+// fitsElsewhere tells whether the others have room for what a machine runs, where its
 // images are, and for all that room is kept for.
 func (l *leader) fitsElsewhere(m *machine) bool {
 	machines := slices.DeleteFunc(l.view(true), func(o *scheduler.Machine) bool { return o.ID == m.id })
@@ -204,12 +116,3 @@
 	}
 	return true
 }
-
-func (l *leader) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
-
-func priceOf(t wire.MachineType, spot bool) float64 {
-	if spot {
-		return t.SpotPrice
-	}
-	return t.Price
-}
--- /dev/null
+++ b/controller/consolidation_test.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/wire"
+)
+
+// Replicas that are left over on many dear machines move together, one machine at a
+// time, when they have settled and have room where their image is; never otherwise.
+func TestConsolidationEmptiesOneMachine(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		ran     time.Duration
+		cached  bool
+		batch   bool
+		cheaper float64 // what another type costs
+		within  float64 // the aim on starting, where a machine boots in 10 s
+		emptied int
+	}{
+		{"room elsewhere", 2 * time.Minute, true, false, 0.5, 2, 1},
+		{"just started", time.Second, true, false, 0.5, 2, 0},
+		{"image elsewhere missing", 2 * time.Minute, false, false, 0.5, 2, 0},
+		{"batch work beside it", 2 * time.Minute, true, true, 0.5, 2, 0},
+		{"no type is cheaper", 2 * time.Minute, true, false, 1.5, 2, 0},
+		{"none is, and one boots in time", 2 * time.Minute, true, false, 1.5, 20, 1},
+	} {
+		core, l, _ := leading(t)
+		core.types["t"] = wire.MachineType{Name: "t", CPUs: 8, Price: 1, BootS: 10}
+		core.types["s"] = wire.MachineType{Name: "s", CPUs: 2, Price: c.cheaper, BootS: 10}
+		core.cfg.Facts.Objectives = []config.Objective{{Kind: "guarantee", WithinS: c.within}}
+		core.cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 100, CPUsMax: 100}}
+		l.order, l.jobs = nil, map[string]*job{}
+		run := func(id, kind string, m *machine) *attempt {
+			j := l.addJob(id, &headerRecord{PerChunk: 10, Job: wire.Job{ID: id, Kind: kind, Team: "red", Priority: "prod", Tasks: 1, CPUs: 2, Image: "img"}})
+			a := place(l, j, 0, m)
+			a.sent, a.seen, a.running, a.since, j.begun = true, true, true, core.now.Add(-c.ran), true
+			return a
+		}
+		for i, n := range []int{3, 1} {
+			id := fmt.Sprintf("i-%d", i)
+			m := l.machine(id)
+			l.apply(m, &wire.Report{Machine: id, Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+			m.images["img"] = c.cached
+			for k := range n {
+				run(fmt.Sprintf("req-%d%d", i, k), wire.KindService, m)
+			}
+		}
+		if c.batch {
+			run("req-99", wire.KindArray, l.machines["i-1"])
+		}
+		l.consolidate()
+		stopping := 0
+		for _, m := range l.machines {
+			for _, a := range m.list {
+				if a.stopping {
+					stopping++
+				}
+			}
+		}
+		if got := l.machines["i-1"].consolidating; got != (c.emptied > 0) || stopping != c.emptied || l.machines["i-0"].consolidating {
+			t.Errorf("%s: emptying %v, %d tasks stopped, want %d", c.name, got, stopping, c.emptied)
+		}
+	}
+}
--- a/controller/control.go
+++ b/controller/control.go
@@ -9,6 +9,8 @@
 	"pumicefront/wire"
 )
 
+// The watched records, of which every controller keeps a copy.
+
 // control is this controller's copy of the watched records. It is as old as its
 // revision; before anything is told to a user from it, sync brings it up to date.
 type control struct {
@@ -119,7 +121,7 @@
 	c.syncAlways(fn)
 }
 
-// reach is sync that always tries.
+// syncAlways is sync that always tries.
 func (c *Core) syncAlways(fn func(ok bool)) {
 	if !c.control.loaded || len(c.control.waiting) >= maxWaiting {
 		fn(false)
@@ -177,7 +179,7 @@
 	c.control.revision = max(c.control.revision, w.Revision)
 }
 
-// holds notes that the copy has all that was written before a read was sent.
+// noteRead notes that the copy has all that was written before a read was sent.
 func (c *Core) noteRead(sent time.Time) {
 	if sent.After(c.control.read) {
 		c.control.read = sent
--- a/controller/core.go
+++ b/controller/core.go
@@ -28,17 +28,6 @@
 	tickEvery          = 250 * time.Millisecond
 )
 
-// Shares of the changes that the state service takes in a second. Users and the
-// leader seldom need many at the same time, and what one leaves the other can use:
-// so together they may ask for more than there is, and try again when refused.
-// What nobody waits for leaves room for both.
-const (
-	userShare       = 0.8
-	leaderShare     = 0.85
-	backgroundShare = 0.4
-	burstShare      = 0.4 // of a second's changes, that may be made at once
-)
-
 // clockDrift bounds how far the steady clocks of two machines drift apart.
 const clockDrift = 0.001
 
@@ -68,7 +57,7 @@
 	chains   *reduction.DynamicGraph // unfinished jobs that need others, and those
 
 	announcing    bool // see announce
-	rateRefusals  int  // see paced
+	rateRefusals  int  // see observeRateLimit
 	ratesLowered  bool // the state service takes changes at its coming rate
 	valuesLowered bool // it has refused a record for its size
 	claiming      bool
@@ -78,7 +67,7 @@
 	promises      promises
 	relays        relays
 	hints         map[string]*mesh.Hint // by machine, as the last leader told
-	rejected      map[string]*wire.Job  // turned away, to be told to the leader
+	rejected      map[string]*wire.Job  // submissions refused for now, to be told to the leader
 }
 
 // timer runs a function once its time has come.
@@ -218,50 +207,6 @@
 	c.emit(call)
 }
 
-// tightAfter is how many changes must be refused for the rate, more than are taken
-// meanwhile, before the coming rate is taken to hold. Budgets add up to more than the
-// rate, so that some are refused at any time.
-const refusalsToLower = 12
-
-// paced learns from what becomes of transactions that the limits have become those
-// that are to come, which nobody announces.
-func (c *Core) observeRateLimit(status int) {
-	switch {
-	case c.ratesLowered:
-		return
-	case status == http.StatusTooManyRequests:
-		c.rateRefusals += 3
-	case status == http.StatusOK:
-		c.rateRefusals = max(c.rateRefusals-1, 0)
-	}
-	if c.rateRefusals >= 3*refusalsToLower && c.cfg.Facts.State.Coming() != c.cfg.Facts.State.Limits {
-		c.lowerRates()
-	}
-}
-
-// tighten goes over to the coming limits.
-func (c *Core) lowerRates() {
-	c.ratesLowered = true
-	c.writes.SetLimitAt(c.now, c.userRate())
-	if c.lead != nil {
-		c.lead.setWriteRates()
-	}
-	c.log(slog.LevelInfo, "the state service has its coming limits", "changes", c.writeRate())
-}
-
-// writeRate is how many changes a second the state service takes.
-func (c *Core) writeRate() float64 {
-	if c.ratesLowered {
-		return c.cfg.Facts.State.Tightest().WriteRPS
-	}
-	return c.cfg.Facts.State.WriteRPS
-}
-
-// userRate is what of that each controller spends on users.
-func (c *Core) userRate() rate.Limit {
-	return rate.Limit(c.writeRate() * userShare / float64(len(c.cfg.Others)+1))
-}
-
 func (c *Core) cloud(call CloudCall, fn func(CloudReply)) {
 	call.ID, call.Timeout = c.id(), cloudCallTimeout
 	c.cloudCalls[call.ID] = fn
@@ -285,7 +230,7 @@
 	}
 }
 
-// later refuses a request that can't be taken now, at once.
+// retryLater refuses a request that can't be taken now, at once.
 func (c *Core) retryLater(req uint64, why string) {
 	c.reply(Answer{Req: req, Status: http.StatusServiceUnavailable, Body: wire.Error{Error: why}, RetryAfter: time.Second})
 }
--- a/controller/door.go
+++ b/controller/demand_hints.go
@@ -10,7 +10,7 @@
 	"pumicefront/wire"
 )
 
-// A job that is turned away, since the state service takes no more changes for the
+// A submission that is rejected for now, since the state service takes no more changes for the
 // moment, comes again in a second or two. When many come at once this goes on for
 // long, and a machine takes longer to boot: so the leader is told of such jobs and
 // rents for them before they are accepted. Nothing else follows from it.
@@ -21,13 +21,13 @@
 	demandHintBytes    = 256 << 10       // bytes told at once; what is left out comes again
 )
 
-// knock is a job at the door, and when it was there last.
+// demandHint is a rejected submission, and when it came last.
 type demandHint struct {
 	spec *wire.Job
 	at   time.Time
 }
 
-// turnAway refuses a submission for now and has the leader told of it.
+// rejectSubmission refuses a submission for now and has the leader told of it.
 func (c *Core) rejectSubmission(r UserRequest, job *wire.Job) {
 	if len(c.rejected) == 0 {
 		c.after(demandHintInterval, c.sendDemandHints)
@@ -54,34 +54,34 @@
 	}
 	clear(c.rejected)
 	if leader := c.leaderName(); leader != "" && len(jobs) > 0 {
-		c.sendMesh(leader, &mesh.Envelope{Body: &mesh.Envelope_Knocks{Knocks: &mesh.Knocks{Jobs: jobs}}})
+		c.sendMesh(leader, &mesh.Envelope{Body: &mesh.Envelope_DemandHints{DemandHints: &mesh.DemandHints{Jobs: jobs}}})
 	}
 }
 
-// knocked takes in, as leader, that a job was turned away.
+// noteDemandHint takes in, as leader, that a submission was rejected.
 func (c *Core) noteDemandHint(j *wire.Job) {
 	if c.lead != nil {
 		c.lead.demandHints[j.ID] = demandHint{j, c.now}
 	}
 }
 
-// atDoor lists what the jobs at the door will want.
+// hintedDemands lists what rejected submissions will want.
 func (l *leader) hintedDemands() []*scheduler.Demand {
 	var ds []*scheduler.Demand
 	for _, id := range slices.Sorted(maps.Keys(l.demandHints)) {
-		k := l.demandHints[id]
-		if l.jobs[id] != nil || l.c.now.Sub(k.at) > demandHintLifetime {
+		hint := l.demandHints[id]
+		if l.jobs[id] != nil || l.c.now.Sub(hint.at) > demandHintLifetime {
 			delete(l.demandHints, id)
 			continue
 		}
-		d := l.c.demandOf(k.spec)
+		d := l.c.demandOf(hint.spec)
 		d.WithinGuarantee, d.Tasks = true, make([]int, d.Total)
 		ds = append(ds, d)
 	}
 	return ds
 }
 
-// keepForDoor takes the room that services at the door will want off the picture of
+// reserveForHinted takes the room that rejected services will want off the view of
 // the machines: lower work that is placed there would be stopped for them at once.
 func (l *leader) reserveForHinted(machines []*scheduler.Machine) {
 	for _, d := range l.hintedDemands() {
--- /dev/null
+++ b/controller/demands.go
@@ -0,0 +1,108 @@
+package controller
+
+import (
+	"time"
+
+	"pumicefront/reduction"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// Demands: what the ready tasks of each job want, and how much they press.
+
+// demands lists the frontiers of all jobs.
+func (l *leader) demands() []*scheduler.Demand {
+	var ds []*scheduler.Demand
+	l.assignGuarantees()
+	for _, j := range l.order {
+		if j.cancelled || j.state.Count(reduction.Pending) == 0 || l.blocked(j) {
+			continue
+		}
+		verdict, frontier := reduction.Classify(j.graph, j.state)
+		if verdict != reduction.Progressing || j.spec.Kind == wire.KindGang && len(j.attempts) > 0 {
+			continue
+		}
+		d := l.c.demandOf(&j.spec)
+		d.Rank = j.terms.Rank
+		for _, t := range frontier {
+			if j.attempts[t] == nil && !l.c.now.Before(j.retryAt[t]) {
+				d.Tasks = append(d.Tasks, t)
+			}
+		}
+		if len(d.Tasks) == 0 {
+			continue
+		}
+		if d.SpreadImages = l.fetchMatters(&j.spec); d.SpreadImages || d.Service {
+			d.OtherClasses = l.otherClasses(d.Class)
+		}
+		d.WaitForBooting = d.Service && !j.begun && l.c.now.Sub(j.ready).Seconds() > l.startAim(&j.spec)
+		d.WithinGuarantee, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.ready).Seconds(), j.avoid
+		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
+		d.Begun, d.Aged = j.begun, l.waited(j)
+		for _, a := range j.attempts {
+			d.InZone[a.machine.zone]++
+		}
+		ds = append(ds, d)
+	}
+	return ds
+}
+
+// Waiting wins over every other order after these ages. The largest jobs must
+// begin within four minutes, and smaller ones never stop coming.
+const (
+	beginAfter = 80 * time.Second  // nothing of the job has run
+	serveAfter = 120 * time.Second // not all of it has
+)
+
+// reserveShare is the part of all machines that may be taken by what has waited.
+const reserveShare = 1.0 / 8
+
+func (l *leader) waited(j *job) bool {
+	age := l.c.now.Sub(j.ready)
+	return !j.begun && age > beginAfter || age > serveAfter
+}
+
+// reserve is the size of what is left of that.
+func (l *leader) reserve(machines []*scheduler.Machine) float64 {
+	left := 0.0
+	for _, m := range machines {
+		left += l.c.measure.Of(m.Cap) * reserveShare
+	}
+	for _, j := range l.order {
+		if l.c.now.Sub(j.ready) > serveAfter && j.spec.Kind != wire.KindService {
+			left -= float64(len(j.attempts)) * l.c.measure.Of(jobEach(&j.spec))
+		}
+	}
+	return max(left, 0)
+}
+
+// missed counts the aims on finishing that a job can't meet any more. One that has
+// waited out several times the last of them, or has lost work to a failure, is
+// not passed over.
+func (l *leader) missed(j *job) int {
+	n, over := 0, 0.0 // by how many times the age exceeds the last of them
+	for _, o := range l.c.cfg.Facts.Objectives {
+		within, age := o.WithinS, l.c.now.Sub(j.ready).Seconds()
+		switch {
+		case o.Kind == "deadline" && j.due.last != nil && o.Class == j.due.last.Class:
+			within, age = j.due.within(o.Times), l.c.now.Sub(j.due.from).Seconds()
+		case o.Kind != "finished" || o.Class != j.spec.Class:
+			continue
+		}
+		if age+j.spec.EstimateS > within {
+			n++
+		}
+		if within > 0 && (over == 0 || age/within < over) {
+			over = age / within
+		}
+	}
+	if j.disrupted || over > 4 {
+		return 0
+	}
+	return n
+}
+
+// workLeft estimates what is left of a job: the sizes of its tasks times seconds.
+func (l *leader) workLeft(j *job) float64 {
+	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * l.c.measure.Of(jobEach(&j.spec)) * j.spec.EstimateS
+}
--- /dev/null
+++ b/controller/election.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"pumicefront/wire"
+
+	"golang.org/x/time/rate"
+)
+
+// Leader election. The leader key is attached to a lease of the state service, and a claim takes
+// the next fencing token in the same transaction.
+
+// leaderName returns who leads as far as known, or "".
+func (c *Core) leaderName() string {
+	if c.control.leader == nil || c.control.leader.Member == c.cfg.Member {
+		return ""
+	}
+	return c.control.leader.Member
+}
+
+// pursueLeadership claims the leadership when nobody holds it, and ends what an
+// earlier process of this member, or a claim in doubt, has left behind.
+func (c *Core) pursueLeadership() {
+	if !c.control.loaded || c.claiming || c.lead != nil {
+		return
+	}
+	if l := c.control.leader; l != nil {
+		if l.Member == c.cfg.Member && !c.now.Before(c.endAfter) {
+			c.endAfter = c.now.Add(2 * retryPause)
+			c.endLease(l.Lease)
+		}
+		return
+	}
+	if c.now.Before(c.claimAfter) || c.promiseBinds() {
+		return
+	}
+	c.claiming = true
+	sent := c.now
+	c.state(StateCall{Op: OpGrant, Life: c.op.LeaderLifetime(), Timeout: userCallTimeout}, func(r StateReply) {
+		if r.Status != http.StatusOK {
+			c.claimFailed()
+			return
+		}
+		c.claim(sent, r.Grant.Lease)
+	})
+}
+
+func (c *Core) endLease(lease uint64) {
+	c.state(StateCall{Op: OpEnd, Lease: lease, Timeout: userCallTimeout}, func(StateReply) {})
+}
+
+func (c *Core) claimFailed() {
+	c.claiming = false
+	c.claimAfter = c.now.Add(retryPause + time.Duration(c.rng.Int64N(int64(retryPause))))
+}
+
+// claim tries to become leader with a lease granted at sent, and takes the next
+// token in the same transaction.
+func (c *Core) claim(sent time.Time, lease uint64) {
+	token := c.control.token + 1
+	set := put(leaderKey, leaderRecord{c.cfg.Member, lease})
+	set.Lease = lease
+	txn := wire.Txn{
+		If:   []wire.Cond{{Key: leaderKey}, {Key: tokenKey, Version: c.control.versions[tokenKey]}},
+		Then: []wire.Change{set, put(tokenKey, tokenRecord{token})},
+	}
+	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(r StateReply) {
+		if r.Status != http.StatusOK {
+			// In doubt it may still be applied: without its lease it can't stay.
+			c.endLease(lease)
+			c.claimFailed()
+			return
+		}
+		c.claiming = false
+		c.becomeLeader(sent, lease, token, r.Txn.Revision)
+		c.written(wire.Event{Put: tokenKey, Value: txn.Then[1].Value, Version: r.Txn.Revision})
+		c.written(wire.Event{Put: leaderKey, Value: set.Value, Version: r.Txn.Revision})
+	})
+}
+
+func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
+	burst := max(2, int(c.cfg.Facts.State.Tightest().WriteRPS*burstShare))
+	l := &leader{
+		c: c, token: token, electedToken: token, version: version, lease: lease, elected: c.now,
+		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
+		writes:           rate.NewLimiter(0, burst),
+		backgroundWrites: rate.NewLimiter(0, burst),
+		probedAt:         map[string]time.Time{}, progressTold: map[string]jobCount{}, demandHints: map[string]demandHint{}, tokenRaisedAt: c.now, partitionedAt: map[string]time.Time{},
+	}
+	l.setWriteRates()
+	l.fleet.init()
+	c.lead = l
+	l.extend(sent)
+	c.log(slog.LevelInfo, "leading", "token", token)
+	l.renewLater()
+	l.readRecords()
+}
+
+func (c *Core) stepDown(why string) {
+	c.log(slog.LevelInfo, "no longer leading", "token", c.lead.token, "why", why)
+	c.lead = nil
+	c.promises.promisedUntil, c.promises.onPromises, c.promises.asks = time.Time{}, false, nil
+	c.claimAfter = c.now
+}
+
+// leaderChanged is called when the watched leader key has changed.
+func (c *Core) leaderChanged() {
+	if c.lead == nil {
+		return
+	}
+	if c.control.leader == nil || c.control.versions[leaderKey] != c.lead.version {
+		c.stepDown("leader key changed")
+	}
+}
--- a/controller/silence.go
+++ b/controller/failure_detector.go
@@ -7,13 +7,16 @@
 	"pumicefront/scheduler"
 )
 
-// releaseLost decides between waiting a lease out and releasing the machine.
+// The failure detector: which machines are suspected, and whether the fault is on the machine, in
+// its zone's network or on our side.
+
+// releaseFailed decides between waiting a lease out and releasing the machine.
 func (l *leader) releaseFailed() {
 	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
-	hushed := l.unheardZones()
+	unheard := l.unheardZones()
 	// Just after a cut some machines are still to be heard, and others are back already.
-	blameless := func(zone string) bool {
-		return !hushed[zone] && l.c.now.Sub(l.partitionedAt[zone]) > l.suspectAfter()
+	reachable := func(zone string) bool {
+		return !unheard[zone] && l.c.now.Sub(l.partitionedAt[zone]) > l.suspectAfter()
 	}
 	var elsewhere []*scheduler.Machine // drawn once: what moves off one machine takes room from the next
 	canMove := func(m *machine) bool {
@@ -46,7 +49,7 @@
 			l.release(m, "faulty")
 		case m.notice && len(m.attempts)+len(m.unknownAttempts) == 0:
 			l.release(m, "will be taken")
-		case silence > 3*lease, (silence > l.suspectAfter() && m.unanswered || l.unreachableFor(m) > l.suspectAfter()) && blameless(m.zone) && blameless("") && canMove(m):
+		case silence > 3*lease, (silence > l.suspectAfter() && m.unanswered || l.unreachableFor(m) > l.suspectAfter()) && reachable(m.zone) && reachable("") && canMove(m):
 			l.release(m, "silent")
 		case (l.heartbeatOverdue(m) || !m.unansweredSince.IsZero()) && !m.callInFlight && !l.c.now.Before(m.probeAt):
 			l.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
@@ -58,7 +61,7 @@
 // there is a tick several times as often.
 const listenGap = time.Second
 
-// listen notes since when this leader has heard its machines without a pause. A
+// noteListening notes since when this leader has heard its machines without a pause. A
 // process that stood still while its clocks ran on, or had no authority to answer,
 // finds all of them silent at once; that says nothing of them.
 func (l *leader) noteListening() {
@@ -76,7 +79,7 @@
 	return l.c.now.Sub(then)
 }
 
-// silence is how long a machine has not been heard of.
+// sinceHeartbeat is how long a machine has not been heard of.
 func (l *leader) sinceHeartbeat(m *machine) time.Duration { return l.since(m.reported) }
 
 // reportDue is how long after a report the next one should have come, with slack.
@@ -84,18 +87,18 @@
 	return config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25) + slack
 }
 
-// late tells whether a machine's report is overdue.
+// heartbeatOverdue tells whether a machine's report is overdue.
 func (l *leader) heartbeatOverdue(m *machine) bool {
 	return l.sinceHeartbeat(m) > l.reportDue(250*time.Millisecond)
 }
 
-// silent tells whether a machine has not been heard of for too long to be given
+// unresponsive tells whether a machine has not been heard of for too long to be given
 // new work.
 func (l *leader) unresponsive(m *machine) bool {
 	return l.sinceHeartbeat(m) > l.reportDue(time.Second)
 }
 
-// deafFor is how long a machine has not answered commands, whatever it reports.
+// unreachableFor is how long a machine has not answered commands, whatever it reports.
 func (l *leader) unreachableFor(m *machine) time.Duration {
 	if m.unreachableSince.IsZero() {
 		return 0
@@ -103,7 +106,7 @@
 	return l.since(m.unreachableSince)
 }
 
-// cutZones lists the zones of which most machines are silent, and "" where a
+// partitionedZones lists the zones of which most machines are silent, and "" where a
 // quarter of all is: that speaks for a fault on the way to us, not on the
 // machines. They are left their leases, and come back with what they ran.
 func (l *leader) partitionedZones() map[string]bool {
@@ -135,7 +138,7 @@
 	return cut
 }
 
-// hushed lists the zones, and "" for all machines, of which far too few have been
+// unheardZones lists the zones, and "" for all machines, of which far too few have been
 // heard in the last moments. Where all fall silent at once, those that were due
 // first are suspected before a quarter of all is late: a leader that has just lost
 // its way to the workers would release them.
@@ -157,14 +160,14 @@
 			}
 		}
 	}
-	hushed := map[string]bool{}
+	unheard := map[string]bool{}
 	for zone, n := range all {
-		hushed[zone] = n >= least*part && 3*heard[zone] < n/part
+		unheard[zone] = n >= least*part && 3*heard[zone] < n/part
 	}
-	return hushed
+	return unheard
 }
 
-// mostFound tells whether most machines that an earlier leader placed work on
+// mostMachinesReported tells whether most machines that an earlier leader placed work on
 // have found us.
 func (l *leader) mostMachinesReported() bool {
 	missing, all := 0, 0
@@ -183,11 +186,11 @@
 // have found us by now. One that didn't answer when it was asked is like any other
 // that has fallen silent; where nobody could ask, its worker may still be looking.
 func (l *leader) overdueSinceElection(m *machine) bool {
-	patience := l.suspectAfter() + time.Second
+	limit := l.suspectAfter() + time.Second
 	if !m.unanswered {
-		patience += config.Seconds(2 * l.c.cfg.Facts.Workers.ReportS)
+		limit += config.Seconds(2 * l.c.cfg.Facts.Workers.ReportS)
 	}
-	return len(m.attempts) > 0 && l.since(l.elected) > patience
+	return len(m.attempts) > 0 && l.since(l.elected) > limit
 }
 
 // canMove tells whether what a machine runs has room elsewhere now. If not,
@@ -208,17 +211,17 @@
 	if t, ok := l.c.types[m.typ]; ok {
 		boot = t.BootS
 	}
-	patience := config.Seconds(boot*2.5) + 10*time.Second
+	limit := config.Seconds(boot*2.5) + 10*time.Second
 	if l.since(l.elected) < config.Seconds(l.c.cfg.Facts.Workers.LeaseS) {
 		return false // it may be up and not have found us yet
 	}
 	if m.typ == "" { // known only from an earlier leader's placements
 		return l.c.now.After(l.leaseEnd(m)) && l.c.now.Sub(l.elected) > 3*config.Seconds(l.c.cfg.Facts.Cloud.ListLagS)
 	}
-	return l.c.now.Sub(m.since) > patience
+	return l.c.now.Sub(m.since) > limit
 }
 
-// doubtful lists the services on machines that have gone silent: the machines to
+// replacements lists the services on machines that have gone silent: the machines to
 // take them over boot while the proof that they are gone is waited for.
 func (l *leader) replacements() []*scheduler.Demand {
 	var ds []*scheduler.Demand
@@ -237,11 +240,8 @@
 	return ds
 }
 
-// patience is how long a machine may be silent before it is suspected: a share of
+// suspectAfter is how long a machine may be silent before it is suspected: a share of
 // its lease, but never less than a report may take.
 func (l *leader) suspectAfter() time.Duration {
 	return max(config.Seconds(l.c.op.SilentShare*l.c.cfg.Facts.Workers.LeaseS), l.reportDue(time.Second))
 }
-
-// faulty tells whether unlike jobs have failed on a machine and none has finished.
-func faulty(m *machine) bool { return len(m.faults) >= 2 }
--- /dev/null
+++ b/controller/fixtures_test.go
@@ -0,0 +1,113 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/wire"
+)
+
+// leading returns a core that leads, with one job of two tasks.
+func leading(t *testing.T) (*Core, *leader, *job) {
+	t.Helper()
+	var cfg config.Platform
+	cfg.Member = "n0"
+	cfg.Others = []config.Peer{{Member: "n1"}, {Member: "n2"}}
+	f := &cfg.Facts
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 2, 10, 24
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 60, 8, 16
+	f.Cloud.RPS, f.Cloud.ListLagS = 4, 5
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	c := New(&cfg, config.DefaultOperator(), rand.New(rand.NewPCG(1, 1)), now)
+	c.noteRead(now) // as who claims has read the headers
+	c.becomeLeader(now, 1, 7, 1)
+	l := c.lead
+	l.rebuild(nil, nil)
+	spec := wire.Job{ID: "req-000001", Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: 1}
+	return c, l, l.addJob(spec.ID, &headerRecord{Job: spec, PerChunk: 10})
+}
+
+// place puts an attempt in force as a round does, and has its record written.
+func place(l *leader, j *job, task int, m *machine) *attempt {
+	j.chunks[0].next++
+	a := &attempt{job: j, task: task, number: j.chunks[0].next, machine: m, session: m.session, recorded: true}
+	j.attempts[task] = a
+	m.add(a)
+	j.state.Start(task)
+	return a
+}
+
+func report(m *machine, token uint64, tasks ...wire.Task) *wire.Report {
+	return &wire.Report{Machine: m.id, Session: m.session, Seq: m.seq + 1, Token: token, Tasks: tasks}
+}
+
+// chain returns a leader with two jobs, of which the second needs the first.
+func chain(t *testing.T) (c *Core, l *leader, first, second *job) {
+	t.Helper()
+	c, l, _ = leading(t)
+	due := 100.0
+	specs := []wire.Job{
+		{ID: "req-000010", Kind: wire.KindArray, Class: "a", Priority: "best_effort", Tasks: 1, CPUs: 1, EstimateS: 10},
+		{ID: "req-000011", Kind: wire.KindArray, Class: "b", Priority: "high", Tasks: 1, CPUs: 1, EstimateS: 20, DeadlineS: &due, Needs: []string{"req-000010"}},
+	}
+	for i, spec := range specs {
+		spec := spec
+		c.control.versions[headerKey(spec.ID)] = uint64(i + 1)
+		c.headerChanged(spec.ID, &headerRecord{Job: spec, AcceptedMS: c.now.UnixMilli(), PerChunk: 10})
+	}
+	return c, l, l.jobs["req-000010"], l.jobs["req-000011"]
+}
+
+// serving lets a core take submissions that one team's machines can run.
+func serving(c *Core) {
+	members(c, thisVersion)
+	c.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 8, Zones: []string{"a"}}})
+	c.quotas["red"] = quotaOf(config.Team{Name: "red", CPUs: 8})
+	c.control.loaded = true
+}
+
+// answerReads carries out what the core asks of the state service, which holds the given
+// final records and nothing new beside them, until it answers a user or writes.
+func answerReads(c *Core, finals map[string]finalRecord) (answer *Answer, txn *StateCall) {
+	for len(c.out) > 0 {
+		asked := c.out
+		c.out = nil
+		for _, o := range asked {
+			switch o := o.(type) {
+			case Answer:
+				return &o, nil
+			case StateCall:
+				if o.Op == OpTxn {
+					return nil, &o
+				}
+				resume(c.stateCalls, o.ID, readReply(c, o, finals))
+			}
+		}
+	}
+	return nil, nil
+}
+
+func readReply(c *Core, call StateCall, finals map[string]finalRecord) StateReply {
+	f, over := finals[strings.TrimPrefix(call.Key, finalPrefix)]
+	switch {
+	case call.Op == OpWatch:
+		return StateReply{Status: http.StatusOK, Watch: wire.Watch{Revision: c.control.revision}}
+	case call.Op == OpGet && over:
+		return StateReply{Status: http.StatusOK, Item: wire.Item{Key: call.Key, Value: wire.Marshal(f), Version: 1}}
+	}
+	return StateReply{Status: http.StatusNotFound}
+}
+
+// submitNeeding submits a job that needs others.
+func submitNeeding(c *Core, finals map[string]finalRecord, needs []string) (answer *Answer, txn *StateCall) {
+	spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i", Needs: needs}
+	c.out = nil
+	c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
+	return answerReads(c, finals)
+}
+
+func body(id string) []byte { return wire.Marshal(wire.Job{ID: id}) }
--- /dev/null
+++ b/controller/job.go
@@ -0,0 +1,250 @@
+package controller
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"pumicefront/reduction"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// Unfinished jobs in the leader's memory: their tasks, the attempts in force, and how outcomes
+// change them.
+
+// job is an unfinished job in the leader's memory. Its tasks are the nodes of a
+// reduction; the attempts in force are those not proved gone.
+type job struct {
+	id        string
+	spec      wire.Job
+	cancelled bool
+	// No user was told of the cancellation before: it was not in what the leader had seen.
+	cancelledAt    time.Time
+	accepted       time.Time
+	ready          time.Time // all that it needs was done: its times count from then
+	due            deadline
+	graph          *reduction.Graph
+	state          *reduction.State
+	attempts       map[int]*attempt
+	tasksPerRecord int
+	chunks         []chunk
+	divided        bool     // chunks are smaller than the header says, see divide
+	undividedKeys  []string // records of the larger ones, which stay until the job is over
+	retryAt        map[int]time.Time
+	fails          map[int]int
+	avoid          map[string]bool
+	dirty          bool // chunks hold what their records don't, or the job is over
+	dirtyAt        time.Time
+	urgent         bool // its write starts tasks or tells the end; counts alone can wait
+	write          *write
+	holdUntil      time.Time
+	ended          bool // the final record is written
+	terms          *scheduler.Terms
+	begun          bool // a task has run, ever
+	disrupted      bool // has lost an attempt to a failure, or gave way: goes on first
+}
+
+// chunk is a run of tasks that share a record.
+type chunk struct {
+	version uint64
+	next    uint64
+	dirty   bool
+}
+
+// attempt is one try of a task on a machine, in force until it is proved gone.
+type attempt struct {
+	job         *job
+	task        int
+	number      uint64
+	machine     *machine
+	session     uint64 // that its run command is addressed to
+	token       uint64 // the highest that its run may have been sent with
+	recorded    bool   // the record is written: run may be sent
+	sent        bool
+	restored    bool // an earlier leader's: its run is not sent again
+	seen        bool // a report has shown it
+	running     bool
+	placedByAge bool // placed after waiting its turn
+	placed      time.Time
+	since       time.Time // running since
+	stopping    bool
+	stoppedAt   time.Time
+	grace       float64
+}
+
+func (a *attempt) taskID() string { return wire.TaskID(a.job.id, a.task) }
+
+func (a *attempt) key() taskKey { return taskKey{a.taskID(), a.number} }
+
+func jobEach(j *wire.Job) scheduler.Resources {
+	return scheduler.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+}
+
+func capOf(t wire.MachineType) scheduler.Resources {
+	return scheduler.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+}
+
+// demandOf holds what of a demand follows from the job's description.
+func (c *Core) demandOf(j *wire.Job) *scheduler.Demand {
+	return &scheduler.Demand{
+		Job: j.ID, Class: j.Class, Team: j.Team, Total: j.Tasks, Each: jobEach(j), Measure: c.measure, Types: j.Types, Zone: j.Zone,
+		OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.Image,
+		Rank: slices.Index(wire.Priorities, j.Priority), Service: j.Kind == wire.KindService, Gang: j.Kind == wire.KindGang,
+		InZone: map[string]int{},
+	}
+}
+
+func (l *leader) addJob(id string, h *headerRecord) *job {
+	per := max(1, h.PerChunk)
+	g := reduction.Independent(h.Job.Tasks)
+	j := &job{
+		id: id, spec: h.Job, accepted: time.UnixMilli(h.AcceptedMS), ready: time.UnixMilli(h.AcceptedMS),
+		graph: g, state: reduction.NewState(g), attempts: map[int]*attempt{}, tasksPerRecord: per,
+		chunks:  make([]chunk, (h.Job.Tasks+per-1)/per),
+		retryAt: map[int]time.Time{}, fails: map[int]int{}, avoid: map[string]bool{},
+	}
+	j.terms = &scheduler.Terms{Job: id, Team: h.Job.Team, Rank: slices.Index(wire.Priorities, h.Job.Priority),
+		Each: jobEach(&h.Job), CheckpointS: h.Job.CheckpointS}
+	if j.spec.DeadlineS != nil {
+		j.due = deadline{last: &j.spec, from: j.accepted}
+	}
+	l.guaranteesAt = time.Time{}
+	l.jobs[id] = j
+	for _, s := range l.c.chains.Successors(id) { // they may be known first
+		if later := l.jobs[s]; later != nil {
+			l.inheritUrgency(later)
+		}
+	}
+	l.inheritUrgency(j)
+	if !l.blocked(j) {
+		l.becameReady(j)
+	}
+	at, _ := slices.BinarySearchFunc(l.order, j, func(a, b *job) int {
+		if n := a.accepted.Compare(b.accepted); n != 0 {
+			return n
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	l.order = slices.Insert(l.order, at, j)
+	return j
+}
+
+// header takes in a change of a job's header.
+func (l *leader) header(id string, h *headerRecord) {
+	j := l.jobs[id]
+	switch {
+	case h == nil:
+		// Only we remove headers; the write that did it is confirmed in its own time.
+		return
+	case j == nil: // it may be cancelled already: a copy that is read anew shows no steps
+		j = l.addJob(id, h)
+		l.c.log(slog.LevelInfo, "job accepted", "job", id, "class", h.Job.Class, "team", h.Job.Team, "tasks", h.Job.Tasks)
+		l.wantPlacement()
+	}
+	if l.c.withdrawn(id) && !j.cancelled {
+		l.c.log(slog.LevelInfo, "job cancelled", "job", id)
+		l.cancel(j)
+		l.settle(j)
+	}
+}
+
+// cancel counts every unfinished task as failed and stops what is in force.
+func (l *leader) cancel(j *job) {
+	if !j.cancelled {
+		j.cancelled, j.cancelledAt = true, l.headersKnownUntil()
+	}
+	for t := range j.spec.Tasks {
+		j.state.Accumulate(t, reduction.Cancelled)
+	}
+	for _, a := range j.sortedAttempts() {
+		l.stop(a, 0)
+	}
+}
+
+func (j *job) sortedAttempts() []*attempt {
+	as := make([]*attempt, 0, len(j.attempts))
+	for _, a := range j.attempts {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, func(a, b *attempt) int { return a.task - b.task })
+	return as
+}
+
+func (j *job) touch(task int, now time.Time) {
+	j.chunks[task/j.tasksPerRecord].dirty = true
+	j.mark(now)
+}
+
+func (j *job) mark(now time.Time) {
+	if !j.dirty {
+		j.dirty, j.dirtyAt = true, now
+	}
+}
+
+// gone takes an attempt out of force; the caller has proof.
+func (l *leader) gone(a *attempt, o reduction.Outcome, why string) {
+	j := a.job
+	if j.attempts[a.task] != a {
+		return
+	}
+	delete(j.attempts, a.task)
+	a.machine.remove(a)
+	j.disrupted = j.disrupted || a.seen && o == reduction.Reset
+	j.state.Accumulate(a.task, o)
+	if !j.ended {
+		j.touch(a.task, l.c.now)
+	}
+	level := slog.LevelDebug
+	if o != reduction.Succeeded && !j.cancelled {
+		level = slog.LevelInfo
+	}
+	l.c.log(level, "attempt gone", "job", j.id, "task", a.task, "attempt", a.number, "machine", a.machine.id, "why", why)
+	l.settle(j)
+	l.wantPlacement()
+}
+
+// finish counts a reported finish.
+func (l *leader) finish(j *job, task int) {
+	if j.state.Status(task) == reduction.Completed || j.cancelled {
+		return
+	}
+	j.state.Accumulate(task, reduction.Succeeded)
+	j.touch(task, l.c.now)
+	if a := j.attempts[task]; a != nil { // another attempt won: this one has no use
+		l.stop(a, 0)
+	}
+	l.settle(j)
+}
+
+// settle classifies a job; when nothing is pending, running or in force, its
+// final record is due.
+func (l *leader) settle(j *job) {
+	if j.ended || len(j.attempts) > 0 {
+		return
+	}
+	if j.state.Count(reduction.Pending) == 0 && j.state.Count(reduction.Running) == 0 {
+		j.mark(l.c.now)
+		j.urgent = true
+	}
+}
+
+func (l *leader) removeJob(j *job, f finalRecord) {
+	j.ended = true
+	delete(l.jobs, j.id)
+	l.obsoleteKeys = append(l.obsoleteKeys, j.undividedKeys...) // nobody waits for their end
+	for n := range j.chunks {
+		if j.chunks[n].version > 0 {
+			l.obsoleteKeys = append(l.obsoleteKeys, j.chunkKey(n))
+		}
+	}
+	l.order = slices.DeleteFunc(l.order, func(o *job) bool { return o == j })
+	l.c.jobEnded(j.id, f)
+	delete(l.progressTold, j.id)
+	if f.Cancelled {
+		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "cancelled")
+	} else {
+		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "done", "after", l.c.now.Sub(j.accepted))
+	}
+}
--- /dev/null
+++ b/controller/machine_returns.go
@@ -0,0 +1,110 @@
+package controller
+
+import (
+	"cmp"
+	"log/slog"
+	"net/http"
+	"slices"
+
+	"pumicefront/config"
+	"pumicefront/reduction"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// Machines that go back to the cloud.
+
+// returnSpare gives back machines that are not needed, the dearest first.
+func (l *leader) returnSpare() {
+	spare := l.spare()
+	slices.SortStableFunc(spare, func(a, b *machine) int { return cmp.Compare(l.price(b), l.price(a)) })
+	for _, m := range spare[:min(len(spare), max(returnMost, len(l.machines)/returnShare))] {
+		l.release(m, "idle")
+	}
+}
+
+// returnMachines gives back what never came up, what has gone silent and what
+// was found not to be needed.
+func (l *leader) returnMachines() {
+	f := &l.fleet
+	if f.releasing {
+		return
+	}
+	l.releaseFailed()
+	var names []string
+	for _, m := range l.fleetOrder {
+		if m.releasing && len(names) < 100 {
+			names = append(names, m.id)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	f.releasing = l.call(CloudCall{Op: CloudRelease, Names: names}, func(r CloudReply) {
+		f.releasing = false
+		if r.Status != http.StatusOK {
+			return
+		}
+		for _, id := range names {
+			l.forgetMachine(id)
+		}
+	})
+}
+
+func (l *leader) release(m *machine, why string) {
+	if m.releasing {
+		return
+	}
+	m.releasing = true
+	l.c.log(slog.LevelInfo, "releasing machine", "machine", m.id, "why", why, "tasks", len(m.attempts))
+}
+
+// forgetMachine takes in that a machine and everything on it is gone.
+func (l *leader) forgetMachine(id string) {
+	m := l.machines[id]
+	if m == nil {
+		return
+	}
+	l.released[id] = l.c.now
+	for _, a := range m.list {
+		l.gone(a, reduction.Reset, "machine released")
+	}
+	delete(l.machines, id)
+	l.fleetOrder = slices.DeleteFunc(l.fleetOrder, func(o *machine) bool { return o == m })
+}
+
+// spare lists idle machines that neither what waits nor the headroom has use for:
+// those that stay empty when all of it is placed, the fullest machines first.
+func (l *leader) spare() []*machine {
+	var idle []*machine
+	for _, m := range l.fleetOrder {
+		// A machine is charged for a minute at least: before that nothing is saved.
+		if m.up && !m.releasing && len(m.attempts)+len(m.unknownAttempts) == 0 && (m.consolidating || l.c.now.Sub(m.rented) >= leastCharge &&
+			l.c.now.Sub(m.idle) >= config.Seconds(l.c.op.IdleS)) && !l.unresponsive(m) {
+			idle = append(idle, m)
+		}
+	}
+	if len(l.c.types) == 0 || len(idle) == 0 {
+		return nil
+	}
+	machines := l.view(true)
+	demands := append(l.backlog(), l.headroom()...)
+	scheduler.Order(demands)
+	needed := map[string]bool{}
+	for _, d := range demands {
+		d.SpreadImages = false
+		for _, p := range scheduler.Place(machines, d) {
+			needed[p.Machine.ID] = true
+		}
+	}
+	return slices.DeleteFunc(idle, func(m *machine) bool { return needed[m.id] })
+}
+
+func (l *leader) price(m *machine) float64 { return priceOf(l.c.types[m.typ], m.spot) }
+
+func priceOf(t wire.MachineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -39,7 +39,7 @@
 				c.progress[p.Job] = jobCount{int(p.Done), int(p.Running)}
 			}
 		}
-		if body.Progress.Deaf {
+		if body.Progress.WorkersUnheard {
 			c.relays.leaderUnheard = c.now.Add(relayModeFor)
 		}
 		if len(c.hints) > maxHints {
@@ -48,8 +48,8 @@
 		for _, h := range body.Progress.Hints {
 			c.hints[h.Machine] = h
 		}
-	case *mesh.Envelope_Knocks:
-		for _, raw := range body.Knocks.Jobs {
+	case *mesh.Envelope_DemandHints:
+		for _, raw := range body.DemandHints.Jobs {
 			if j := decode[wire.Job](raw); j != nil {
 				c.noteDemandHint(j)
 			}
--- /dev/null
+++ b/controller/progress.go
@@ -0,0 +1,65 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pumicefront/mesh"
+	"pumicefront/reduction"
+)
+
+// What the leader tells the other controllers of its own accord.
+
+// hintAllEvery is how often the other controllers are told of all machines: they
+// forget them when they end.
+const hintAllEvery = 10 * time.Second
+
+// broadcastProgress tells the other controllers the counts of tasks, for display.
+func (l *leader) broadcastProgress() {
+	const every = 500 * time.Millisecond
+	if l.c.now.Sub(l.progressAt) < every {
+		return
+	}
+	l.progressAt = l.c.now
+	var jobs []*mesh.JobProgress
+	for _, j := range l.order {
+		n := jobCount{done: j.state.Count(reduction.Completed)}
+		for _, a := range j.attempts {
+			if a.running {
+				n.running++
+			}
+		}
+		if l.progressTold[j.id] != n {
+			l.progressTold[j.id] = n
+			l.c.progress[j.id] = n
+			jobs = append(jobs, &mesh.JobProgress{Job: j.id, Done: uint32(n.done), Running: uint32(n.running)})
+		}
+	}
+	hints := l.hints()
+	unheard := l.partitioned[""]
+	if len(jobs)+len(hints) > 0 || unheard {
+		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Hints: hints, WorkersUnheard: unheard}}})
+	}
+}
+
+// hints lists what whoever leads next should know of machines that have changed,
+// and now and then of all: where they are reached, since workers take seconds to
+// find a new leader, and their images, which reports don't tell.
+func (l *leader) hints() []*mesh.Hint {
+	all := l.c.now.Sub(l.hintedAt) > hintAllEvery
+	if all {
+		l.hintedAt = l.c.now
+	}
+	var hs []*mesh.Hint
+	for _, m := range l.fleetOrder {
+		if !m.up || !all && len(m.images) == m.imagesTold {
+			continue
+		}
+		m.imagesTold = len(m.images)
+		h := &mesh.Hint{Machine: m.id, Addr: m.addr, Images: slices.Sorted(maps.Keys(m.images))}
+		l.c.hints[m.id] = h
+		hs = append(hs, h)
+	}
+	return hs
+}
--- a/controller/promise.go
+++ b/controller/promises.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"pumicefront/config"
 	"pumicefront/mesh"
 )
 
@@ -19,14 +18,11 @@
 // is recorded already is carried on.
 //
 // What the leader doesn't hear of meanwhile is bounded by what it has verifiably
-// seen (see blind), never by when it last renewed: its copy may be older than that.
+// seen (see renewalDeadline), never by when it last renewed: its copy may be older than that.
 
 // promiseLife is how long one promise binds.
 const promiseLife = 1200 * time.Millisecond
 
-// blindMargin is for the clocks and for what the end of a lease takes.
-const cancellationMargin = 500 * time.Millisecond
-
 // promises holds both sides: those that this controller gave, and as leader
 // those that it was given.
 type promises struct {
@@ -165,7 +161,7 @@
 	}
 }
 
-// calledOff takes in that another controller knows a job to be cancelled, which is
+// noteCancelled takes in that another controller knows a job to be cancelled, which is
 // as durable as if we had read it. It tells whether the job is known here.
 func (c *Core) noteCancelled(id string) bool {
 	h := c.control.headers[id]
@@ -180,33 +176,7 @@
 	return true
 }
 
-// seen is the moment up to which the leader knows of every cancellation that a user
-// was told of: when the last read was sent that its copy of the headers holds, or
-// the last round of promises that was as good.
-func (l *leader) headersKnownUntil() time.Time {
-	if read := l.c.control.read; read.After(l.headersPromisedUntil) {
-		return read
-	}
-	return l.headersPromisedUntil
-}
-
-// blind is when the leader must answer no worker any more unless it has seen more
-// of the headers. A user may have been told of a cancellation right after seen; a
-// lease that is renewed before blind has run out cancel_s after that, and the task
-// with it. Settings that leave hardly any time between the two can't be kept by
-// leases alone; the service then relies on reading several times a second.
-func (l *leader) renewalDeadline() time.Time {
-	return l.headersKnownUntil().Add(l.c.cancellationWindow())
-}
-
-// blindFor is how long after a cancellation was told the lease of a machine that may
-// run its task can be renewed at the latest.
-func (c *Core) cancellationWindow() time.Duration {
-	w := c.cfg.Facts.Workers
-	return max(config.Seconds(w.CancelS-w.LeaseS*(1+2*clockDrift))-cancellationMargin, c.op.LeaderLifetime()/2)
-}
-
-// rideOver takes in that the state service answers the leader again.
+// stateServiceBack takes in that the state service answers the leader again.
 func (l *leader) stateServiceBack() {
 	p := &l.c.promises
 	if p.onPromises {
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -1,12 +1,18 @@
 package controller
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"time"
 
 	"pumicefront/config"
+	"pumicefront/reduction"
 	"pumicefront/scheduler"
 )
 
+// Teams: what each is guaranteed, what limits it, and which of its jobs the guarantee goes to.
+
 // quota is what a team is guaranteed and what limits it. Everything that asks
 // whether work may be accepted, has room, is within its guarantee or may be stopped
 // for another team's goes by it.
@@ -50,3 +56,71 @@
 	g := q.guarantee
 	return scheduler.Resources{CPUs: beyond(g.CPUs), GPUs: beyond(g.GPUs)}
 }
+
+// teamUse counts every attempt not proved gone.
+func (l *leader) teamUse() map[string]scheduler.Resources {
+	used := map[string]scheduler.Resources{}
+	for _, j := range l.order {
+		used[j.spec.Team] = used[j.spec.Team].Add(jobEach(&j.spec), float64(len(j.attempts)))
+	}
+	return used
+}
+
+// excess is what each team uses beyond its guarantee, less what is being stopped.
+func (l *leader) excess() scheduler.Excess {
+	e := scheduler.Excess{}
+	for team, q := range l.c.quotas {
+		e[team] = q.excess()
+	}
+	for _, j := range l.order {
+		for _, a := range j.attempts {
+			if !a.stopping {
+				e.Use(j.terms)
+			}
+		}
+	}
+	return e
+}
+
+func (l *leader) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
+	return l.c.quotas[d.Team].limit.Add(used[d.Team], -1).Fits(d.Each)
+}
+
+// within tells whether a job fits into its team's guarantee together with the
+// team's jobs that come before it, and adds it to those.
+func (l *leader) within(j *job, earlier map[string]scheduler.Resources) bool {
+	left := j.spec.Tasks - j.state.Count(reduction.Completed)
+	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(left))
+	earlier[j.spec.Team] = sum
+	return l.c.quotas[j.spec.Team].guarantee.Fits(sum) > 0
+}
+
+// sharesEvery is how often the guarantees are dealt out anew where no job has come.
+const guaranteesEvery = 250 * time.Millisecond
+
+// assignGuarantees marks the jobs beyond their team's guarantee. Which of its jobs a team's
+// guarantee goes to follows the order in which they are served.
+func (l *leader) assignGuarantees() {
+	if l.c.now.Sub(l.guaranteesAt) < guaranteesEvery {
+		return
+	}
+	l.guaranteesAt = l.c.now
+	earlier := map[string]scheduler.Resources{}
+	type ranked struct {
+		*job
+		late int
+		work float64
+	}
+	order := make([]ranked, 0, len(l.order))
+	for _, j := range l.order {
+		if !j.cancelled && !l.blocked(j) {
+			order = append(order, ranked{j, l.missed(j), l.workLeft(j)})
+		}
+	}
+	slices.SortStableFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.late, b.late), cmp.Compare(a.work, b.work))
+	})
+	for _, r := range order {
+		r.job.terms.Borrowed = !l.within(r.job, earlier)
+	}
+}
--- /dev/null
+++ b/controller/rate_limits.go
@@ -0,0 +1,72 @@
+package controller
+
+import (
+	"log/slog"
+	"net/http"
+
+	"golang.org/x/time/rate"
+)
+
+// The rate of changes that the state service takes, now and from an unannounced moment on.
+
+// refusalsToLower is how many changes must be refused for the rate, more than are taken
+// meanwhile, before the coming rate is taken to hold. Budgets add up to more than the
+// rate, so that some are refused at any time.
+const refusalsToLower = 12
+
+// observeRateLimit learns from what becomes of transactions that the limits have become those
+// that are to come, which nobody announces.
+func (c *Core) observeRateLimit(status int) {
+	switch {
+	case c.ratesLowered:
+		return
+	case status == http.StatusTooManyRequests:
+		c.rateRefusals += 3
+	case status == http.StatusOK:
+		c.rateRefusals = max(c.rateRefusals-1, 0)
+	}
+	if c.rateRefusals >= 3*refusalsToLower && c.cfg.Facts.State.Coming() != c.cfg.Facts.State.Limits {
+		c.lowerRates()
+	}
+}
+
+// lowerRates goes over to the coming limits.
+func (c *Core) lowerRates() {
+	c.ratesLowered = true
+	c.writes.SetLimitAt(c.now, c.userRate())
+	if c.lead != nil {
+		c.lead.setWriteRates()
+	}
+	c.log(slog.LevelInfo, "the state service has its coming limits", "changes", c.writeRate())
+}
+
+// writeRate is how many changes a second the state service takes.
+func (c *Core) writeRate() float64 {
+	if c.ratesLowered {
+		return c.cfg.Facts.State.Tightest().WriteRPS
+	}
+	return c.cfg.Facts.State.WriteRPS
+}
+
+// userRate is what of that each controller spends on users.
+func (c *Core) userRate() rate.Limit {
+	return rate.Limit(c.writeRate() * userShare / float64(len(c.cfg.Others)+1))
+}
+
+// Shares of the changes that the state service takes in a second. Users and the
+// leader seldom need many at the same time, and what one leaves the other can use:
+// so together they may ask for more than there is, and try again when refused.
+// What nobody waits for leaves room for both.
+const (
+	userShare       = 0.8
+	leaderShare     = 0.85
+	backgroundShare = 0.4
+	burstShare      = 0.4 // of a second's changes, that may be made at once
+)
+
+// setWriteRates spends shares of the changes that the state service takes in a second.
+func (l *leader) setWriteRates() {
+	changes := rate.Limit(l.c.writeRate())
+	l.writes.SetLimitAt(l.c.now, changes*leaderShare)
+	l.backgroundWrites.SetLimitAt(l.c.now, changes*backgroundShare)
+}
--- a/controller/record.go
+++ b/controller/records.go
@@ -7,6 +7,9 @@
 	"pumicefront/wire"
 )
 
+// The values stored in the state service. Their keys and fields must stay readable by earlier
+// versions, see versions_test.go.
+
 // Keys of the state service. Everything under controlPrefix is watched by every
 // controller; tasks and hires are read by a new leader alone.
 const (
@@ -48,19 +51,6 @@
 	EndedMS   int64 `cbor:"e,omitempty"` // jobs that need it count their times from then
 }
 
-// versionRecord tells that a member runs a version of the service: it stays when that
-// has been replaced by a newer one, and an older one never comes back.
-type versionRecord struct {
-	Version int `cbor:"v"`
-}
-
-// Versions of the records and messages, by what they brought.
-const (
-	firstVersionWithChains = 2
-	firstVersionWithEnds   = 3 // finds out how needed jobs ended before it tells of a job
-	thisVersion            = firstVersionWithEnds
-)
-
 // taskRecord holds a run of a job's tasks: those completed, as ranges, and the
 // attempts in force.
 type taskRecord struct {
@@ -79,7 +69,7 @@
 	Zone    string `cbor:"z"` // constraints are checked before the machine reports again
 }
 
-// hireRecord is a rental request, written before it is made, and its answer, so that
+// rentalRecord is a rental request, written before it is made, and its answer, so that
 // a new leader asks again only for what has none.
 type rentalRecord struct {
 	Rent     wire.Rent `cbor:"r"`
@@ -92,7 +82,7 @@
 
 func chunkKey(job string, chunk int) string { return fmt.Sprintf("%s%s/%06d", taskPrefix, job, chunk) }
 
-// smallKey names a record of a job whose header asks for larger ones than may be
+// dividedChunkKey names a record of a job whose header asks for larger ones than may be
 // written: what it holds stands for its tasks instead of what a larger one says.
 func dividedChunkKey(job string, chunk int) string {
 	return fmt.Sprintf("%s%s/s%06d", taskPrefix, job, chunk)
@@ -109,7 +99,7 @@
 	return job, chunk, small, err == nil
 }
 
-// perChunk is how many tasks go into one task record so that it stays within
+// tasksPerRecord is how many tasks go into one task record so that it stays within
 // the largest value: a placement takes up to 75 characters of it as JSON.
 func tasksPerRecord(valueKB float64) int { return max(1, int(valueKB*1024/80)) }
 
@@ -123,7 +113,7 @@
 }
 
 // cancelledHeader is a header with the cancellation in it. Where an earlier version has
-// stored more than may be written now, what nobody needs of a job that is called off is
+// stored more than may be written now, what nobody needs of a cancelled job is
 // left out.
 func cancelledHeader(h headerRecord, valueKB float64) []byte {
 	h.Cancelled = true
--- /dev/null
+++ b/controller/recovery.go
@@ -0,0 +1,119 @@
+package controller
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+
+	"pumicefront/reduction"
+	"pumicefront/wire"
+)
+
+// A new leader continues from the records that earlier ones have left.
+
+// readRecords reads what the earlier leader left: first the headers, as new as our
+// election, then rentals and task records, which only we write now. It begins
+// again until all is read.
+func (l *leader) readRecords() {
+	c := l.c
+	again := func() {
+		c.after(retryPause, func() {
+			if c.lead == l {
+				l.readRecords()
+			}
+		})
+	}
+	read := func(prefix string, next func([]wire.Item)) {
+		c.readAll(prefix, leadCallTimeout, func(items []wire.Item, _ uint64, ok bool) {
+			switch {
+			case c.lead != l:
+			case !ok:
+				again()
+			default:
+				next(items)
+			}
+		})
+	}
+	c.sync(func(ok bool) {
+		switch {
+		case c.lead != l:
+		case !ok:
+			again()
+		default:
+			read(rentalPrefix, func(hires []wire.Item) {
+				read(taskPrefix, func(tasks []wire.Item) { l.rebuild(tasks, hires) })
+			})
+		}
+	})
+}
+
+// rebuild makes the leader's state from the records: what was running is
+// pending again, but stays off the frontier until its attempt is proved gone.
+func (l *leader) rebuild(tasks, hires []wire.Item) {
+	c := l.c
+	for id, h := range c.control.headers {
+		l.addJob(id, h)
+	}
+	for _, it := range tasks {
+		id, n, small, ok := splitChunk(it.Key)
+		rec := decode[taskRecord](it.Value)
+		j := l.jobs[id]
+		if j != nil && small && !j.divided {
+			l.divide(j) // the larger records come first, by their names
+		}
+		if !ok || rec == nil || j == nil || small != j.divided || n >= len(j.chunks) {
+			l.obsoleteKeys = append(l.obsoleteKeys, it.Key)
+			continue
+		}
+		l.restore(j, n, rec, it.Version)
+	}
+	for _, j := range l.order {
+		reduction.Recover(j.state)
+		if c.withdrawn(j.id) {
+			l.cancel(j)
+		}
+		l.settle(j)
+	}
+	l.fleet.restore(l, hires)
+	l.recovered = true
+	l.fetchEnds()
+	c.log(slog.LevelInfo, "recovered", "token", l.token, "jobs", len(l.jobs), "machines", len(l.machines),
+		"after", c.now.Sub(l.elected))
+	for _, id := range slices.Sorted(maps.Keys(c.hints)) {
+		if m := l.machines[id]; (m == nil || !m.up) && c.hints[id].Addr != "" {
+			l.probe(id, c.hints[id].Addr)
+		}
+	}
+	l.wantPlacement()
+}
+
+func (l *leader) restore(j *job, n int, rec *taskRecord, version uint64) {
+	if j.divided { // it stands for its tasks instead of what a larger record says of them
+		for t := n * j.tasksPerRecord; t < min((n+1)*j.tasksPerRecord, j.spec.Tasks); t++ {
+			if a := j.attempts[t]; a != nil {
+				delete(j.attempts, t)
+				a.machine.remove(a)
+			}
+			j.state.Accumulate(t, reduction.Reset)
+		}
+	}
+	j.chunks[n].version, j.chunks[n].next = version, rec.Next
+	for _, r := range rec.Done {
+		for t := r[0]; t <= r[1] && t < j.spec.Tasks; t++ {
+			j.state.Accumulate(t, reduction.Succeeded)
+			j.begun = true
+		}
+	}
+	for _, p := range rec.Placed {
+		if p.Task >= j.spec.Tasks {
+			continue
+		}
+		m := l.machine(p.Machine)
+		a := &attempt{job: j, task: p.Task, number: p.Attempt, machine: m, session: p.Session,
+			token: l.token - 1, recorded: true, sent: true, restored: true, placed: l.elected}
+		m.zone = p.Zone
+		j.attempts[p.Task] = a
+		m.add(a)
+		j.state.Start(p.Task)
+	}
+}
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -48,7 +48,7 @@
 	r.serving = map[uint64]relayOrigin{}
 }
 
-// passOn sends a worker to the leader, or its report if it has come back.
+// redirectOrRelay sends a worker to the leader, or its report if it has come back.
 func (c *Core) redirectOrRelay(r ReportRequest) {
 	leader := c.leaderName()
 	if r.Req&relayedReq != 0 || leader == "" || len(c.relays.asked) > maxRelays || !c.returnedSoon(r.Report.Machine) {
@@ -61,7 +61,7 @@
 	c.after(relayTimeout, func() { c.relayAnswered(&mesh.RelayAnswer{Id: id}) })
 }
 
-// cameBack tells whether a worker was sent to the leader a short while ago, or
+// returnedSoon tells whether a worker was sent to the leader a short while ago, or
 // need not be sent because the leader is known to be cut off.
 func (c *Core) returnedSoon(machine string) bool {
 	s := c.relays.redirects[machine]
--- /dev/null
+++ b/controller/snapshots.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// The scheduler's view of the machines. A snapshot is kept until something changes its machine.
+
+// usable tells whether a machine may be given new work.
+func (l *leader) usable(m *machine) bool {
+	// Where commands to many get no answer, the fault is ours, and reports carry them.
+	hears := m.unansweredSince.IsZero() || l.partitioned[""]
+	return m.up && !m.releasing && !m.consolidating && !m.notice && !m.leaseOut && !l.unresponsive(m) && hears
+}
+
+// view gives the scheduler its view of the machines; with booting, those that
+// are not up yet count too. The view may be changed; it lasts until the next
+// view. Only machines that have changed since are drawn anew.
+func (l *leader) view(booting bool) []*scheduler.Machine {
+	l.assignGuarantees()
+	if cap(l.scratch) < len(l.fleetOrder) {
+		l.scratch = make([]scheduler.Machine, 0, len(l.fleetOrder)+len(l.fleetOrder)/4)
+	}
+	l.scratch = l.scratch[:0]
+	ms := make([]*scheduler.Machine, 0, len(l.fleetOrder))
+	for _, m := range l.fleetOrder {
+		t, ok := l.c.types[m.typ]
+		if !ok || !l.usable(m) && !(booting && !m.up && !m.releasing && !l.overdue(m, t)) {
+			continue
+		}
+		if m.snapshot == nil {
+			m.snapshot = l.takeSnapshot(m, t)
+		}
+		l.scratch = append(l.scratch, *m.snapshot)
+		ms = append(ms, &l.scratch[len(l.scratch)-1])
+	}
+	return ms
+}
+
+// takeSnapshot draws one machine as the scheduler sees it.
+func (l *leader) takeSnapshot(m *machine, t wire.MachineType) *scheduler.Machine {
+	s := &scheduler.Machine{
+		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.part,
+		Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
+	}
+	if faulty(m) {
+		s.Penalty = 1
+	}
+	for k := range m.unknownAttempts {
+		id, _, _ := wire.SplitTask(k.task)
+		if j := l.jobs[id]; j != nil {
+			s.Free = s.Free.Add(jobEach(&j.spec), -1)
+		} else {
+			s.Free = scheduler.Resources{} // nobody knows what it takes
+		}
+	}
+	for _, a := range m.list {
+		l.occupy(s, a)
+	}
+	return s
+}
+
+// overdue tells whether a booting machine is late, so that another should be
+// rented in its place: a few never come up, and waiting for proof takes long.
+func (l *leader) overdue(m *machine, t wire.MachineType) bool {
+	return l.c.now.Sub(m.since) > config.Seconds(t.BootS*1.6)+2*time.Second
+}
+
+func (l *leader) occupy(s *scheduler.Machine, a *attempt) {
+	each := a.job.terms.Each
+	s.Free = s.Free.Add(each, -1)
+	if a.stopping {
+		s.Soon = s.Soon.Add(each, 1)
+		return
+	}
+	if !a.seen {
+		return // may be anywhere between here and there: not worth a stop
+	}
+	since := time.Time{}
+	if a.running {
+		since = a.since
+	}
+	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since, PlacedByAge: a.placedByAge})
+}
--- /dev/null
+++ b/controller/write_queue_test.go
@@ -0,0 +1,61 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pumicefront/wire"
+)
+
+// A write that the budget refuses must stay due: its tasks would hang otherwise.
+func TestRefusedWriteStaysDirty(t *testing.T) {
+	c, l, j := leading(t)
+	m := l.machine("i-1")
+	place(l, j, 0, m).recorded = false
+	j.touch(0, c.now)
+	j.urgent = true // as a placement's write is
+	l.writes = rate.NewLimiter(1, 1)
+	l.writes.AllowN(c.now, 1)
+	l.flush()
+	if j.write != nil || !j.dirty || !j.chunks[0].dirty {
+		t.Fatal("a refused write is lost")
+	}
+	c.now = c.now.Add(time.Second)
+	l.extend(c.now)
+	l.flush()
+	if j.write == nil {
+		t.Fatal("not written once the budget allows")
+	}
+}
+
+// A transaction may hold more changes than the budget's burst. Records that are due to
+// be removed must go nonetheless, or every new leader reads them, and takes rentals
+// of long ago for machines that boot.
+func TestDeletionFitsTheBudget(t *testing.T) {
+	c, l, _ := leading(t)
+	c.cfg.Facts.State.TxnOps = 32
+	for i := range 100 {
+		l.obsoleteKeys = append(l.obsoleteKeys, fmt.Sprintf("h/r-1-%d", i))
+	}
+	for range 10 {
+		c.now = c.now.Add(time.Second)
+		l.deleteObsolete()
+	}
+	if n := len(l.obsoleteKeys); n > 0 {
+		t.Errorf("%d of 100 records are left after ten seconds", n)
+	}
+}
+
+// A job may be seen first when it is cancelled already, by a copy that was read anew.
+func TestJobThatIsSeenCancelledEnds(t *testing.T) {
+	c, l, _ := leading(t)
+	spec := wire.Job{ID: "req-000002", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1}
+	c.headerChanged(spec.ID, &headerRecord{Job: spec, Cancelled: true, PerChunk: 10})
+	j := l.jobs[spec.ID]
+	if w := l.compose(j); !j.dirty || w == nil || w.final == nil || !w.final.Cancelled {
+		t.Fatalf("dirty %v, write %+v: its end is never written", j.dirty, w)
+	}
+}
--- a/reduction/growing.go
+++ b/reduction/growing.go
@@ -2,13 +2,13 @@
 
 import "slices"
 
-// Growing is a graph whose nodes come one by one, each with the nodes that it needs,
+// DynamicGraph is a graph whose nodes come one by one, each with the nodes that it needs,
 // and go when they are over and nothing needs them. A node may be named before it comes
 // itself. Outcomes accumulate and failures close as on a fixed graph; since every edge
 // is seen when its later end comes, each call costs as much as it changes.
 type DynamicGraph struct{ nodes map[string]*dynamicNode }
 
-// grown is one node. Once added it has its edges.
+// dynamicNode is one node. Once added it has its edges.
 type dynamicNode struct {
 	status     Status
 	added      bool
@@ -16,7 +16,7 @@
 	open       int // predecessors that are not completed
 }
 
-// NewGrowing returns a graph without nodes.
+// NewDynamicGraph returns a graph without nodes.
 func NewDynamicGraph() *DynamicGraph { return &DynamicGraph{nodes: map[string]*dynamicNode{}} }
 
 func (g *DynamicGraph) node(id string) *dynamicNode {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -106,7 +106,7 @@
 	WithinGuarantee  bool           // within its team's guarantee
 	AgeS             float64        // since submission
 	Begun            bool           // a task has run
-	Aged             bool           // for so long that waiting wins, see Turns
+	Aged             bool           // for so long that waiting wins, see OrderWithAging
 	Late             int            // aims on finishing that it can't meet any more
 	WorkS            float64        // what is left of it: sizes of tasks times seconds
 	InZone           map[string]int // tasks in force by zone
@@ -157,7 +157,7 @@
 	})
 }
 
-// turn is the age of a demand that has waited its turn.
+// agedBy is the age of a demand that has waited its turn.
 func (d *Demand) agedBy() float64 {
 	if d.Aged {
 		return d.AgeS
@@ -165,7 +165,7 @@
 	return 0
 }
 
-// Turns orders demands so that nobody is starved: least work first would put off
+// OrderWithAging orders demands so that nobody is starved: least work first would put off
 // the largest jobs for as long as smaller ones come. What has waited for too long
 // comes first, but takes no more than the reserve, a size, that is left for
 // such work, or one task to begin with; the rest of it keeps its place.
@@ -192,7 +192,7 @@
 	return out
 }
 
-// Hold keeps machines free of other work until a demand that can't start
+// ReserveFor keeps machines free of other work until a demand that can't start
 // piecemeal, all tasks of a gang or one task that needs most of a machine, fits:
 // smaller work would take every core as it comes free.
 func ReserveFor(machines []*Machine, d *Demand) {
@@ -308,7 +308,7 @@
 	return cmp.Or(c, fuller, cmp.Compare(a.ID, b.ID))
 }
 
-// crowds counts the tasks of other classes that no longer fit on a machine once
+// displaced counts the tasks of other classes that no longer fit on a machine once
 // it has one more of this demand: two small services side by side leave room
 // for one more large task than the same two on two machines. Where the image is
 // missing it had better come to many machines, of a type that others can't use.
@@ -436,7 +436,7 @@
 	return best
 }
 
-// yield is what a machine would lose by taking one more task.
+// preemption is what a machine would lose by taking one more task.
 type preemption struct {
 	m    *Machine
 	loss float64
