--- a/internal/sim/meetings_test.go
+++ b/internal/sim/cancellation_gap_test.go
@@ -10,7 +10,7 @@
 	"pumicefront/wire"
 )
 
-// The array of a settled day, whose tasks run for long.
+// The array of a settled run, whose tasks run for long.
 const (
 	array  = "req-000002"
 	second = "req-000003" // an array like it, where there is one
@@ -43,7 +43,7 @@
 	})
 	for until := w.now + time.Second; !j.cancelTold; {
 		if w.now >= until {
-			t.Fatalf("%s is not called off within a second", job)
+			t.Fatalf("%s is not cancelled within a second", job)
 		}
 		w.Run(w.now + time.Millisecond)
 	}
@@ -91,7 +91,7 @@
 	w := settledOn(t, seed, shape, change)
 	w.enterLike(array, second)
 	w.Run(w.now + 8*time.Second)
-	w.still = true
+	w.deterministic = true
 	return w
 }
 
@@ -178,7 +178,7 @@
 func TestAuthorityIsResumed(t *testing.T) {
 	resumed := func(restart bool) (bool, []string) {
 		w := settledOn(t, 26, Small, func(*World) {})
-		w.still = true
+		w.deterministic = true
 		old := w.leading()
 		old.refused = true
 		until := old.core.Authority()
@@ -206,7 +206,7 @@
 // every worker would lose its lease.
 func TestOldLeaderPromisesToTheNewOne(t *testing.T) {
 	w := settledOn(t, 25, Small, func(*World) {})
-	w.still = true
+	w.deterministic = true
 	old := w.leading()
 	old.refused = true
 	for until := w.now + 5*time.Second; w.leading() == old || !w.leading().leads(); {
@@ -225,18 +225,18 @@
 }
 
 // A leader that was elected just before the outage can't read what runs where. It
-// renews leases all the same, and the tasks of a job that was called off before must
+// renews leases all the same, and the tasks of a job that was cancelled before must
 // not live on by that.
 func TestLeaderWithoutRecordsStopsWhatIsCalledOff(t *testing.T) {
 	w := settledOn(t, 23, Small, func(*World) {})
-	w.still = true
+	w.deterministic = true
 	last := renewals(w)
 	old := w.leading()
 	w.Tamper.State = func(call *controller.StateCall) (controller.StateReply, bool) {
 		return controller.StateReply{Status: http.StatusServiceUnavailable}, call.Op == controller.OpRange && call.Key == "t/"
 	}
 	for _, h := range w.hosts {
-		h.muted = true // stops don't reach them before the leader changes
+		h.receivesNothing = true // stops don't reach them before the leader changes
 	}
 	callOffAt(t, w, another(w, old), array)
 	told := w.now
@@ -253,7 +253,7 @@
 	}
 	w.store.setOutage(true)
 	for _, h := range w.hosts {
-		h.muted = false
+		h.receivesNothing = false
 	}
 	w.Run(told + w.cancelTime() + 5*time.Second)
 	if last[next] < told+w.cancelTime() {
@@ -262,14 +262,14 @@
 	checkGone(t, w, array)
 }
 
-// The run of a task is held on its way; its job is called off, and the state service
+// The run of a task is held on its way; its job is cancelled, and the state service
 // is out, so no raised token can fence the run. It must not start when it arrives.
 func TestHeldRunOfACalledOffJob(t *testing.T) {
 	w := settledOn(t, 24, Small, func(*World) {})
-	w.still = true
-	w.faults.heldCommands, w.faults.heldFor = 1, w.cancelTime()+4*time.Second
+	w.deterministic = true
+	w.faults.delayedCommands, w.faults.commandDelay = 1, w.cancelTime()+4*time.Second
 	for _, h := range w.hosts {
-		h.quiet = true                                  // no answer to a report carries the run before the direct command
+		h.noReports = true                              // no answer to a report carries the run before the direct command
 		h.images[w.users.jobs[array].spec.Image] = true // what is run starts at once
 	}
 	j := w.enterLike(array, second)
@@ -288,12 +288,12 @@
 	if !sent {
 		t.Fatal("its run was not sent")
 	}
-	w.faults.heldCommands = 0 // its stop is not held, and finds nothing to stop
+	w.faults.delayedCommands = 0 // its stop is not held, and finds nothing to stop
 	callOffAt(t, w, another(w, w.leading()), second)
 	told := w.now
 	w.store.setOutage(true)
 	for _, h := range w.hosts {
-		h.quiet = false
+		h.noReports = false
 	}
 	w.Run(told + w.cancelTime() + 20*time.Second)
 	if j.begun {
--- /dev/null
+++ b/internal/sim/faults.go
@@ -0,0 +1,267 @@
+package sim
+
+import (
+	"slices"
+	"time"
+)
+
+// drawnFault is one fault with what is drawn for it. Everything is whole again when the
+// faults end.
+type drawnFault struct {
+	w        *World
+	end      time.Duration // of all faults
+	node     *node
+	duration time.Duration
+	down     time.Duration // that a process is away
+	soon     time.Duration // that a process is away which is back at once
+	pick     uint64        // of a machine
+	share    float64       // of the machines
+}
+
+// faultKinds are the faults that a run draws from.
+var faultKinds = []func(*drawnFault){
+	(*drawnFault).crashOne,
+	(*drawnFault).crashAll,
+	(*drawnFault).stateOutage,
+	(*drawnFault).stateOutageAndCrash,
+	(*drawnFault).refuseOne,
+	(*drawnFault).refuseOneWithoutPeers,
+	(*drawnFault).cutOneFromWorkers,
+	(*drawnFault).isolateOne,
+	(*drawnFault).isolateOneAndCrashOthers,
+	(*drawnFault).pauseOne,
+	(*drawnFault).pauseOneShortly,
+	(*drawnFault).pauseAll,
+	(*drawnFault).pauseOneAndCrashNext,
+	(*drawnFault).stateOutageAndPause,
+	(*drawnFault).crashTwice,
+	(*drawnFault).stateOutageAndQuickRestart,
+	(*drawnFault).refuseAllInTurn,
+	(*drawnFault).restartMachine,
+	(*drawnFault).machineReceivesNothing,
+	(*drawnFault).machineReceivesNothingAndRestarts,
+	(*drawnFault).cutManyMachines,
+	(*drawnFault).hangManyMachines,
+	(*drawnFault).loseManyMachines,
+	(*drawnFault).restartManyMachines,
+	(*drawnFault).crashAndCutManyMachines,
+	(*drawnFault).cloudOutage,
+	(*drawnFault).cutMachine,
+	(*drawnFault).hangMachine,
+	(*drawnFault).loseMachine,
+	(*drawnFault).noticeMachine,
+}
+
+// drawFault draws one fault, to be caused later.
+func (w *World) drawFault(end time.Duration) func() {
+	f := &drawnFault{
+		w: w, end: end, node: w.nodes[w.rng.IntN(len(w.nodes))],
+		duration: w.between(3*time.Second, 30*time.Second),
+		down:     w.between(100*time.Millisecond, 6*time.Second),
+		soon:     w.between(20*time.Millisecond, 400*time.Millisecond),
+		pick:     w.rng.Uint64(),
+		share:    0.1 + 0.6*w.rng.Float64(),
+	}
+	kind := faultKinds[w.rng.IntN(len(faultKinds))]
+	return func() { kind(f) }
+}
+
+// undo repairs what the fault has broken when its time is over.
+func (f *drawnFault) undo(repair func()) { f.w.after(f.w.untilEnd(f.duration, f.end), repair) }
+
+// untilEnd is how long something may last that must be over when all faults are.
+func (w *World) untilEnd(duration, end time.Duration) time.Duration {
+	return min(duration, max(end-w.now, 0))
+}
+
+func (f *drawnFault) crashOne() { f.node.crash(f.down) }
+
+func (f *drawnFault) crashAll() {
+	for _, n := range f.w.nodes {
+		n.crash(f.down)
+	}
+}
+
+func (f *drawnFault) stateOutage() {
+	f.w.store.setOutage(true)
+	f.undo(func() { f.w.store.setOutage(false) })
+}
+
+func (f *drawnFault) stateOutageAndCrash() {
+	f.w.store.setOutage(true)
+	f.node.crash(f.down)
+	f.undo(func() { f.w.store.setOutage(false) })
+}
+
+func (f *drawnFault) refuseOne() {
+	f.node.refused = true
+	f.undo(func() {
+		f.node.refused = false
+		f.w.store.notify()
+	})
+}
+
+func (f *drawnFault) refuseOneWithoutPeers() {
+	f.node.refused, f.node.meshCut = true, true
+	f.undo(func() {
+		f.node.refused, f.node.meshCut = false, false
+		f.w.store.notify()
+	})
+}
+
+func (f *drawnFault) cutOneFromWorkers() {
+	f.node.workersCut = true
+	f.undo(func() { f.node.workersCut = false })
+}
+
+func (f *drawnFault) isolateOne() {
+	f.node.isolated = true
+	f.undo(func() {
+		f.node.isolated = false
+		f.w.store.notify()
+	})
+}
+
+func (f *drawnFault) isolateOneAndCrashOthers() {
+	f.node.isolated = true
+	for _, n := range f.w.nodes {
+		if n != f.node {
+			n.crash(f.down)
+		}
+	}
+	f.undo(func() {
+		f.node.isolated = false
+		f.w.store.notify()
+	})
+}
+
+func (f *drawnFault) pauseOne() { f.node.pause(f.duration) }
+
+func (f *drawnFault) pauseOneShortly() { f.node.pause(f.down / 3) }
+
+func (f *drawnFault) pauseAll() {
+	for _, n := range f.w.nodes {
+		n.pause(f.w.between(0, f.duration))
+	}
+}
+
+// pauseOneAndCrashNext has another one take over, which may be gone too.
+func (f *drawnFault) pauseOneAndCrashNext() {
+	f.node.pause(f.duration)
+	next := f.w.nodes[(f.node.i+1)%len(f.w.nodes)]
+	f.w.after(f.w.between(0, 4*time.Second), func() { next.crash(f.soon) })
+}
+
+func (f *drawnFault) stateOutageAndPause() {
+	f.w.store.setOutage(true)
+	f.node.pause(f.duration / 2)
+	f.undo(func() { f.w.store.setOutage(false) })
+}
+
+func (f *drawnFault) crashTwice() {
+	f.node.crash(f.soon)
+	f.w.after(f.soon+f.w.between(0, 2*time.Second), func() { f.node.crash(f.soon) })
+}
+
+func (f *drawnFault) stateOutageAndQuickRestart() {
+	f.w.store.setOutage(true)
+	f.w.after(f.w.between(time.Second, 4*time.Second), func() { f.node.crash(f.soon) })
+	f.undo(func() { f.w.store.setOutage(false) })
+}
+
+// refuseAllInTurn lets leases run out, and the controllers come back one by one.
+func (f *drawnFault) refuseAllInTurn() {
+	for _, n := range f.w.nodes {
+		f.w.refuse(n, f.duration/4+f.w.between(0, 4*time.Second), f.end)
+	}
+	f.w.after(f.w.between(0, 3*time.Second), func() { f.node.crash(f.soon) })
+}
+
+// refuse has the state service refuse one node for a while.
+func (w *World) refuse(n *node, duration, end time.Duration) {
+	n.refused = true
+	w.after(w.untilEnd(duration, end), func() {
+		n.refused = false
+		w.store.notify()
+	})
+}
+
+func (f *drawnFault) restartMachine() {
+	f.oneMachine(func(h *host) { h.restart(f.soon) })
+}
+
+func (f *drawnFault) machineReceivesNothing() {
+	f.oneMachine(func(h *host) {
+		h.receivesNothing = true
+		f.undo(func() { h.receivesNothing = false })
+	})
+}
+
+func (f *drawnFault) machineReceivesNothingAndRestarts() {
+	f.oneMachine(func(h *host) {
+		h.receivesNothing = true
+		f.undo(func() {
+			h.receivesNothing = false
+			h.restart(f.soon)
+		})
+	})
+}
+
+func (f *drawnFault) cutManyMachines()  { f.manyMachines(f.cut) }
+func (f *drawnFault) hangManyMachines() { f.manyMachines(f.hang) }
+func (f *drawnFault) loseManyMachines() { f.manyMachines((*host).vanish) }
+
+func (f *drawnFault) restartManyMachines() {
+	f.manyMachines(func(h *host) { h.restart(f.w.between(20*time.Millisecond, 6*time.Second)) })
+}
+
+func (f *drawnFault) crashAndCutManyMachines() {
+	f.node.crash(f.down)
+	f.manyMachines(f.cut)
+}
+
+func (f *drawnFault) cloudOutage() {
+	f.w.cloud.outage = true
+	f.undo(func() { f.w.cloud.outage = false })
+}
+
+func (f *drawnFault) cutMachine()  { f.oneMachine(f.cut) }
+func (f *drawnFault) hangMachine() { f.oneMachine(f.hang) }
+func (f *drawnFault) loseMachine() { f.oneMachine((*host).vanish) }
+
+func (f *drawnFault) noticeMachine() {
+	f.oneMachine(func(h *host) {
+		h.notice = true
+		f.w.after(5*time.Second, h.vanish)
+	})
+}
+
+func (f *drawnFault) cut(h *host) {
+	h.setCut(true)
+	f.undo(func() { h.setCut(false) })
+}
+
+func (f *drawnFault) hang(h *host) {
+	h.setHung(true)
+	f.undo(func() { h.setHung(false) })
+}
+
+// oneMachine causes a fault on one machine that is up.
+func (f *drawnFault) oneMachine(cause func(h *host)) {
+	if hosts := f.w.hostsUp(); len(hosts) > 0 {
+		cause(hosts[f.pick%uint64(len(hosts))])
+	}
+}
+
+// manyMachines causes a fault on a share of the machines that are up.
+func (f *drawnFault) manyMachines(cause func(h *host)) {
+	for _, h := range f.w.hostsUp() {
+		if f.w.chance(f.share) {
+			cause(h)
+		}
+	}
+}
+
+func (w *World) hostsUp() []*host {
+	return slices.DeleteFunc(slices.Clone(w.hosts), func(h *host) bool { return h.gone || h.up > w.now })
+}
--- a/internal/sim/guarantee_test.go
+++ b/internal/sim/guarantee_test.go
@@ -81,17 +81,17 @@
 	}
 }
 
-// TestHallGuarantees plays days on which GPUs are shared and watches what is stopped
+// TestGPUGuarantees plays runs on which GPUs are shared and watches what is stopped
 // for guarantees; then with controllers that believe a team to have none.
-func TestHallGuarantees(t *testing.T) {
+func TestGPUGuarantees(t *testing.T) {
 	play := func(seed uint64, settings func(*config.Platform)) *World {
-		w := New(seed, Hall)
+		w := New(seed, GPUs)
 		s := &stops{w: w, placed: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 		w.Tamper.Output, w.Tamper.Settings = s.watch, settings
 		for _, n := range w.nodes {
 			n.crash(time.Millisecond) // starts again with these settings
 		}
-		Day(w, troubled, time.Second)
+		RunFaults(w, faultPhase, time.Second)
 		return w
 	}
 	for seed := range uint64(20) {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -30,13 +30,13 @@
 	notice              bool
 	faulty              bool
 
-	cut, hung bool
-	muted     bool     // its reports arrive, but answers and commands don't reach it
-	shut      bool     // it can't open connections to controllers; commands reach it
-	quiet     bool     // it makes no reports, though it runs
-	off       bool     // is starting again
-	held      []func() // messages that wait for the end of a cut
-	frozen    []func() // what a hanging machine will do when it continues
+	cut, hung       bool
+	receivesNothing bool     // its reports arrive, but answers and commands don't reach it
+	sendsNothing    bool     // it can't open connections to controllers; commands reach it
+	noReports       bool     // it makes no reports, though it runs
+	off             bool     // is starting again
+	deferred        []func() // messages that wait for the end of a cut
+	whileHung       []func() // what a hanging machine will do when it continues
 }
 
 // task is an attempt on a machine.
@@ -54,7 +54,7 @@
 	h := &host{w: w, id: id, typ: typ, zone: zone, spot: spot, born: w.now, session: 1, images: map[string]bool{},
 		drift: (w.rng.Float64() - 0.5) * 0.0008, node: w.rng.IntN(len(w.nodes)), faulty: w.chance(0.04)}
 	boot := w.between(6*time.Second, 14*time.Second)
-	if w.faults.quickBoots {
+	if w.faults.fastBoots {
 		boot = w.between(200*time.Millisecond, 2*time.Second)
 	}
 	if w.chance(0.05) {
@@ -75,7 +75,7 @@
 	switch {
 	case h.gone || h.off:
 	case h.hung:
-		h.frozen = append(h.frozen, fn)
+		h.whileHung = append(h.whileHung, fn)
 	default:
 		fn()
 	}
@@ -83,11 +83,11 @@
 
 // reach delivers a message to the machine, at the end of a cut if there is one.
 func (h *host) reach(fn func()) {
-	if h.muted {
+	if h.receivesNothing {
 		return
 	}
 	if h.cut {
-		h.held = append(h.held, func() { h.do(fn) })
+		h.deferred = append(h.deferred, func() { h.do(fn) })
 		return
 	}
 	h.do(fn)
@@ -96,8 +96,8 @@
 func (h *host) setCut(on bool) {
 	h.cut = on
 	if !on {
-		held := h.held
-		h.held = nil
+		held := h.deferred
+		h.deferred = nil
 		for _, fn := range held {
 			h.w.after(h.w.latency(), fn)
 		}
@@ -108,8 +108,8 @@
 	h.hung = on
 	if !on && !h.gone {
 		h.expire()
-		frozen := h.frozen
-		h.frozen = nil
+		frozen := h.whileHung
+		h.whileHung = nil
 		for _, fn := range frozen {
 			h.do(fn)
 		}
@@ -121,7 +121,7 @@
 func (h *host) restart(down time.Duration) {
 	w := h.w
 	w.Log("%v %s restarts with %d tasks", w.now, h.id, len(h.tasks))
-	h.off, h.tasks, h.held, h.frozen, h.hung = true, nil, nil, nil, false
+	h.off, h.tasks, h.deferred, h.whileHung, h.hung = true, nil, nil, nil, false
 	h.reporting++
 	fresh := w.chance(0.5)
 	w.after(down, func() {
@@ -139,7 +139,7 @@
 }
 
 func (h *host) vanish() {
-	h.w.losesTasks(h)
+	h.w.noteLostTasks(h)
 	h.gone, h.goneAt = true, h.w.now
 }
 
@@ -194,7 +194,7 @@
 		return
 	}
 	w := h.w
-	if h.quiet {
+	if h.noReports {
 		w.after(100*time.Millisecond, func() { h.do(h.report) })
 		return
 	}
@@ -210,20 +210,20 @@
 		return func() {
 			if x.core != nil {
 				h.tamper(true, &late)
-				w.oldReport(h, x, &late)
+				w.noteOldReport(h, x, &late)
 				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: late} }, func(controller.Answer) {})
 			}
 		}
 	}
-	if w.mishap(0.02) || w.chance(w.faults.copies) { // a copy, from seconds to well over a lease later
+	if w.byChance(0.02) || w.chance(w.faults.duplicateReports) { // a copy, from seconds to well over a lease later
 		w.after(w.between(2*time.Second, 25*time.Second), copyTo(w.nodes[w.rng.IntN(len(w.nodes))]))
 	}
-	if w.chance(w.faults.forNext) { // kept until another leads, then for every node
+	if w.chance(w.faults.keepReports) { // kept until another leads, then for every node
 		for _, x := range w.nodes {
-			w.kept = append(w.kept, copyTo(x))
+			w.keptReports = append(w.keptReports, copyTo(x))
 		}
 	}
-	if h.shut {
+	if h.sendsNothing {
 		w.after(time.Second, func() { h.do(func() { h.failed(number) }) })
 		return
 	}
@@ -233,13 +233,13 @@
 			w.after(w.latency(), func() { h.reach(func() { h.failed(number) }) })
 			return
 		}
-		if !n.deaf && !w.faults.island.parts(n, h) {
+		if !n.workersCut && !w.faults.isolated.parts(n, h) {
 			h.askReport(n, rep, number, sent)
 		}
 	}
 	w.after(w.latency(), func() {
 		if h.cut {
-			h.held = append(h.held, send)
+			h.deferred = append(h.deferred, send)
 			return
 		}
 		send()
@@ -417,7 +417,7 @@
 		h.later(t, run, func() {
 			j.done[n] = true
 			h.exit(t, wire.WhyDone)
-			h.w.taskEnded(j)
+			h.w.noteTaskEnd(j)
 			if j.left() == 0 && !j.ended {
 				j.ended = true
 				h.w.users.ended(j)
--- /dev/null
+++ b/internal/sim/node.go
@@ -0,0 +1,300 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/controller"
+	"pumicefront/mesh"
+)
+
+// node is a controller and the shell around its core.
+type node struct {
+	w              *World
+	i              int
+	name           string
+	drift          float64
+	core           *controller.Core
+	life           int // raised with every start: replies to an earlier process are dropped
+	wakeAt         time.Duration
+	requests       map[uint64]func(controller.Answer)
+	nextReq        uint64
+	refused        bool // by the state service
+	meshCut        bool
+	workersCut     bool          // cut off from the workers
+	isolated       bool          // neither the state service nor the other controllers are reached
+	pauseAfterStep time.Duration // stands still after the next step, for so long
+	paused         bool          // stands still while its clocks run on
+	deferred       []func()      // what it does when it goes on
+	cause          controller.Input
+	sent           []func() // commands carried out lately, which may be repeated after a crash
+}
+
+func (n *node) clock() time.Time {
+	now := n.w.start.Add(n.w.now + time.Duration(float64(n.w.now)*n.drift))
+	if n.w.Tamper.Clock != nil {
+		return n.w.Tamper.Clock(n, now)
+	}
+	return now
+}
+
+func (n *node) boot() {
+	cfg := n.w.cfg
+	cfg.Member = n.name
+	cfg.Others = nil
+	for i := range n.w.nodes {
+		if i != n.i {
+			cfg.Others = append(cfg.Others, config.Peer{Member: fmt.Sprintf("n%d", i)})
+		}
+	}
+	if n.w.Tamper.Settings != nil {
+		n.w.Tamper.Settings(&cfg)
+	}
+	start := n.clock()
+	if n.w.Tamper.Boot != nil {
+		start = n.w.Tamper.Boot(start)
+	}
+	n.life++
+	n.requests = map[uint64]func(controller.Answer){}
+	n.core = controller.New(&cfg, n.w.op, rand.New(rand.NewPCG(n.w.rng.Uint64(), 1)), start)
+	n.step(controller.Tick{})
+}
+
+// crash ends the process; copies of its commands may still arrive.
+func (n *node) crash(down time.Duration) {
+	if n.core == nil {
+		return
+	}
+	n.w.Log("%v crash %s", n.w.now, n.name)
+	if n.leads() {
+		n.w.noteLeaderEnd(down)
+	}
+	n.core = nil
+	n.pauseAfterStep, n.paused, n.deferred = 0, false, nil
+	for _, again := range n.sent {
+		if n.w.chance(0.5) {
+			n.w.after(n.w.between(0, 30*time.Second), again)
+		}
+	}
+	n.sent = nil
+	n.w.after(down, n.boot)
+}
+
+// pause makes the process stand still while its clocks run on, in the middle of its
+// next step: what that has decided goes out when it goes on, and so does all that
+// has arrived meanwhile.
+func (n *node) pause(still time.Duration) { n.pauseAfterStep = still }
+
+func (n *node) goOn(life int) {
+	if n.life != life || !n.paused {
+		return
+	}
+	n.w.Log("%v %s goes on", n.w.now, n.name)
+	n.paused = false
+	held := n.deferred
+	n.deferred = nil
+	for _, fn := range held {
+		if n.life == life {
+			fn()
+		}
+	}
+}
+
+func (n *node) step(in controller.Input) {
+	if n.core == nil {
+		return
+	}
+	if n.paused {
+		n.deferred = append(n.deferred, func() { n.step(in) })
+		return
+	}
+	n.cause = in
+	for _, o := range n.core.Step(n.clock(), in) {
+		if n.w.Tamper.Output != nil {
+			o = n.w.Tamper.Output(n, o)
+		}
+		n.w.checkAuthority(n, o)
+		n.w.checkRuns(o)
+		if n.pauseAfterStep > 0 {
+			n.deferred = append(n.deferred, func() { n.carryOut(o) })
+		} else {
+			n.carryOut(o)
+		}
+	}
+	if n.core == nil {
+		return
+	}
+	if n.pauseAfterStep > 0 {
+		n.w.Log("%v %s stands still for %v", n.w.now, n.name, n.pauseAfterStep)
+		life := n.life
+		n.w.after(n.pauseAfterStep, func() { n.goOn(life) })
+		n.pauseAfterStep, n.paused = 0, true
+	}
+	wake := n.w.now + n.core.Wake().Sub(n.clock()) + time.Millisecond
+	if n.wakeAt <= n.w.now || wake < n.wakeAt {
+		n.wakeAt = wake
+		life := n.life
+		n.w.after(wake-n.w.now, func() {
+			if n.life == life && n.wakeAt <= n.w.now {
+				n.step(controller.Tick{})
+			}
+		})
+	}
+}
+
+// deliver hands a reply to the process that asked, if it still runs. One that has
+// come while the process stands still may be found after its time has run out.
+func (n *node) deliver(life int, in controller.Input) {
+	if n.life != life {
+		return
+	}
+	if n.paused && n.w.chance(0.5) {
+		switch r := in.(type) {
+		case controller.StateReply:
+			in = controller.StateReply{ID: r.ID}
+		case controller.WorkerReply:
+			in = controller.WorkerReply{ID: r.ID, Machine: r.Machine}
+		case controller.CloudReply:
+			in = controller.CloudReply{ID: r.ID}
+		}
+	}
+	n.step(in)
+}
+
+func (n *node) carryOut(o controller.Output) {
+	switch o := o.(type) {
+	case controller.Answer:
+		if fn := n.requests[o.Req]; fn != nil {
+			delete(n.requests, o.Req)
+			fn(o)
+		}
+	case controller.StateCall:
+		if o.Op == controller.OpTxn {
+			n.w.Log("%v %s transaction %d: if %v then %d changes", n.w.now, n.name, o.ID, o.Txn.If, len(o.Txn.Then))
+		}
+		n.callState(o)
+	case controller.CloudCall:
+		n.w.cloud.call(n, o)
+	case controller.WorkerCall:
+		n.w.Log("%v %s commands %s: %v", n.w.now, n.name, o.Machine, o.Commands)
+		n.callWorker(o)
+	case controller.MeshSend:
+		n.sendMesh(o)
+	case controller.Event:
+		n.w.Log("%v %s %s %v", n.w.now, n.name, o.Text, o.Attrs)
+	}
+}
+
+func (n *node) sendMesh(o controller.MeshSend) {
+	to := n.w.nodes[slices.IndexFunc(n.w.nodes, func(x *node) bool { return x.name == o.To })]
+	if n.meshCut || to.meshCut || n.isolated || to.isolated {
+		return
+	}
+	copyOf := &mesh.Envelope{From: o.Envelope.From, Body: o.Envelope.Body}
+	deliver := func() { to.step(controller.MeshMessage{Envelope: copyOf}) }
+	n.w.after(n.w.latency(), deliver)
+	if n.w.byChance(0.01) { // a copy, much later
+		n.w.after(n.w.between(100*time.Millisecond, 15*time.Second), deliver)
+	}
+}
+
+// ask sends a request to the node; fn gets the answer unless the node dies.
+func (n *node) ask(in func(req uint64) controller.Input, fn func(controller.Answer)) {
+	n.nextReq++
+	req := n.nextReq
+	n.requests[req] = fn
+	n.step(in(req))
+}
+
+// callState carries a call to the store and the reply back. A reply may be lost
+// and a transaction may be applied late.
+func (n *node) callState(call controller.StateCall) {
+	w, life, done := n.w, n.life, false
+	reply := func(r controller.StateReply) {
+		if done {
+			return
+		}
+		done = true
+		r.ID = call.ID
+		if w.Tamper.StateReply != nil {
+			w.Tamper.StateReply(&call, &r)
+		}
+		n.deliver(life, r)
+	}
+	w.after(call.Timeout, func() { reply(controller.StateReply{}) })
+	if w.Tamper.State != nil {
+		if r, ok := w.Tamper.State(&call); ok {
+			w.after(w.latency(), func() { reply(r) })
+			return
+		}
+	}
+	if n.isolated {
+		return // until the call is given up
+	}
+	late, lost := w.latency()+w.between(0, w.faults.slowState), w.byChance(0.004)
+	sent := w.now
+	if call.Op == controller.OpTxn {
+		if w.byChance(0.004) || w.chance(w.faults.lateWrites) {
+			late, lost = w.between(time.Second, 20*time.Second), true
+		}
+		lost = lost || w.chance(w.faults.lostAnswers)
+	}
+	w.after(late, func() {
+		w.store.handle(n, call, func(r controller.StateReply) {
+			if call.Op == controller.OpTxn && lost {
+				w.noteLostAnswer(sent, r)
+			}
+			if !lost && !n.isolated {
+				w.after(w.latency(), func() { reply(r) })
+			}
+		})
+	})
+}
+
+// callWorker sends direct commands; a cut machine gets them when the cut ends.
+func (n *node) callWorker(call controller.WorkerCall) {
+	w, life, done := n.w, n.life, false
+	h := w.host(call.Machine)
+	reply := func(r controller.WorkerReply) {
+		if !done {
+			done = true
+			r.ID, r.Machine = call.ID, call.Machine
+			n.deliver(life, r)
+		}
+	}
+	w.after(call.Timeout, func() { reply(controller.WorkerReply{}) })
+	if h == nil {
+		return
+	}
+	run := func(answer bool) func() {
+		return func() {
+			h.reach(func() {
+				status, rep := h.commands(call.Commands)
+				w.noteCommand(h, answer, status)
+				if answer {
+					w.after(w.latency(), func() { reply(controller.WorkerReply{Status: status, Report: rep}) })
+				}
+			})
+		}
+	}
+	n.sent = append(n.sent, run(false))
+	if len(n.sent) > 40 {
+		n.sent = n.sent[1:]
+	}
+	if n.workersCut || w.faults.isolated.parts(n, h) {
+		return
+	}
+	delay := w.latency()
+	if w.byChance(0.01) || w.chance(w.faults.delayedCommands) { // held on its way, long after the sender gave up
+		held := w.between(2*time.Second, 40*time.Second)
+		if w.faults.commandDelay > 0 {
+			held = w.faults.commandDelay
+		}
+		w.after(held, run(false))
+		return
+	}
+	w.after(delay, run(!w.chance(w.faults.lostCommandAnswers)))
+}
--- /dev/null
+++ b/internal/sim/paired_faults.go
@@ -0,0 +1,238 @@
+package sim
+
+import (
+	"slices"
+	"time"
+)
+
+// pairedFault is one of the faults that others are drawn to coincide with: most of them
+// change what the world does for a while.
+type pairedFault struct {
+	w        *World
+	end      time.Duration // of all faults
+	duration time.Duration
+	share    float64
+	hang     time.Duration // that machines of cancelled jobs hang
+	soon     time.Duration // that a process is away which is back at once
+	count    int           // jobs that are cancelled
+	pick     uint64        // of the kind, and of a node
+}
+
+// pairedFaultKinds are the faults that a run of pairs draws from.
+var pairedFaultKinds = []func(*pairedFault){
+	func(f *pairedFault) { f.raise(&f.w.faults.lateWrites) },
+	func(f *pairedFault) { f.raise(&f.w.faults.lostAnswers) },
+	func(f *pairedFault) { f.raise(&f.w.faults.delayedCommands) },
+	func(f *pairedFault) { f.raise(&f.w.faults.lostCommandAnswers) },
+	func(f *pairedFault) { f.raise(&f.w.faults.duplicateReports) },
+	func(f *pairedFault) { f.raise(&f.w.faults.keepReports) },
+	func(f *pairedFault) { f.raise(&f.w.faults.cancelAtEnd) },
+	(*pairedFault).slowState,
+	(*pairedFault).fastBoots,
+	(*pairedFault).askAllNodes,
+	(*pairedFault).machinesReceiveNothing,
+	(*pairedFault).machinesSendNothing,
+	func(f *pairedFault) { f.w.users.cancelRunning(f.count, 0) },
+	func(f *pairedFault) { f.w.users.cancelRunning(f.count, f.hang) },
+	(*pairedFault).oddRequests,
+	(*pairedFault).smallJobs,
+	(*pairedFault).outageAfterCancellations,
+	(*pairedFault).handOverAndBack,
+	(*pairedFault).manyLeaders,
+	(*pairedFault).isolateLeader,
+	(*pairedFault).isolateZone,
+	(*pairedFault).overloadSlowLinks,
+	(*pairedFault).crashWithNewMachines,
+	(*pairedFault).crashAtTheLimits,
+	(*pairedFault).allAwayForALease,
+}
+
+// drawPairedFault draws one of them, to be caused later.
+func (w *World) drawPairedFault(end time.Duration) func() {
+	f := &pairedFault{
+		w: w, end: end,
+		duration: w.between(4*time.Second, 30*time.Second),
+		share:    0.05 + 0.5*w.rng.Float64(),
+		hang:     w.between(2*time.Second, 20*time.Second),
+		soon:     w.between(50*time.Millisecond, 900*time.Millisecond),
+		count:    1 + w.rng.IntN(12),
+		pick:     w.rng.Uint64(),
+	}
+	kind := pairedFaultKinds[f.pick%uint64(len(pairedFaultKinds))]
+	return func() { kind(f) }
+}
+
+// undo repairs what the fault has broken when its time is over.
+func (f *pairedFault) undo(repair func()) { f.w.after(f.w.untilEnd(f.duration, f.end), repair) }
+
+// raise sets a share of the world's faults for a while.
+func (f *pairedFault) raise(share *float64) {
+	*share = f.share
+	f.undo(func() { *share = 0 })
+}
+
+// delay is a share of a longest delay.
+func (f *pairedFault) delay(most time.Duration) time.Duration {
+	return time.Duration(f.share * float64(most))
+}
+
+func (f *pairedFault) slowState() {
+	f.w.faults.slowState = f.delay(2 * time.Second)
+	f.undo(func() { f.w.faults.slowState = 0 })
+}
+
+func (f *pairedFault) fastBoots() {
+	f.w.faults.fastBoots = true
+	f.undo(func() { f.w.faults.fastBoots = false })
+}
+
+func (f *pairedFault) askAllNodes() {
+	f.w.faults.askAllNodes = true
+	f.undo(func() { f.w.faults.askAllNodes = false })
+}
+
+func (f *pairedFault) machinesReceiveNothing() {
+	f.someMachines(func(h *host, on bool) { h.receivesNothing = on })
+}
+
+func (f *pairedFault) machinesSendNothing() {
+	f.someMachines(func(h *host, on bool) { h.sendsNothing = on })
+}
+
+// someMachines switches a fault on for a share of the machines that are up, and off.
+func (f *pairedFault) someMachines(set func(h *host, on bool)) {
+	for _, h := range f.w.hosts {
+		if !h.gone && h.up <= f.w.now && f.w.chance(f.share) {
+			set(h, true)
+			f.undo(func() { set(h, false) })
+		}
+	}
+}
+
+func (f *pairedFault) oddRequests() {
+	for range 20 {
+		f.w.after(f.w.between(0, f.duration), f.w.users.oddRequests)
+	}
+}
+
+// smallJobs has jobs of one task come four a second, a quarter of them cancelled.
+func (f *pairedFault) smallJobs() {
+	for at := time.Duration(0); at < f.duration; at += 250 * time.Millisecond {
+		f.w.after(at, func() {
+			if f.w.now < f.end {
+				f.w.users.submitOne()
+			}
+		})
+	}
+}
+
+// outageAfterCancellations refuses the leader; others confirm cancellations; then the
+// state service is out for all, for longer than cancellations have.
+func (f *pairedFault) outageAfterCancellations() {
+	w := f.w
+	w.refuse(w.leading(), w.cancelTime()+f.duration, f.end)
+	w.after(w.between(0, 500*time.Millisecond), func() { w.users.cancelRunning(f.count, 0) })
+	w.after(w.between(600*time.Millisecond, 2*time.Second), func() {
+		w.store.setOutage(true)
+		w.after(w.untilEnd(w.cancelTime()+f.hang, f.end), func() { w.store.setOutage(false) })
+	})
+}
+
+func (f *pairedFault) handOverAndBack() {
+	w := f.w
+	for range 4 {
+		w.after(w.between(0, 4*time.Second), func() { w.leading().crash(f.soon) })
+	}
+	w.after(w.between(0, 2*time.Second), func() { w.users.cancelRunning(f.count, 0) })
+}
+
+func (f *pairedFault) manyLeaders() {
+	w := f.w
+	for i := range 10 {
+		w.after(time.Duration(i)*2*time.Second, func() {
+			if w.now < f.end {
+				w.refuse(w.leading(), 2*time.Second, f.end)
+			}
+		})
+	}
+}
+
+// isolateLeader leaves the leader its workers and users alone.
+func (f *pairedFault) isolateLeader() {
+	w, leader := f.w, f.w.leading()
+	leader.isolated = true
+	w.after(w.between(0, 2*time.Second), func() { w.users.cancelRunning(f.count, 0) })
+	f.undo(func() {
+		leader.isolated = false
+		w.store.notify()
+	})
+}
+
+// isolateZone cuts off a zone with a controller in it, for longer than a lease.
+func (f *pairedFault) isolateZone() {
+	w := f.w
+	n := w.nodes[f.pick>>8%uint64(len(w.nodes))]
+	w.faults.isolated = isolatedZone{"a", n}
+	n.isolated = true
+	w.users.cancelRunning(f.count, 0)
+	since := w.now
+	w.after(w.untilEnd(w.leaseTime()+f.duration, f.end), func() {
+		if w.now-since > w.leaseTime() {
+			w.coverage["a zone with a controller cut off"]++
+		}
+		w.faults.isolated = isolatedZone{}
+		n.isolated = false
+		w.store.notify()
+	})
+}
+
+// overloadSlowLinks brings much more work than room, over slow links.
+func (f *pairedFault) overloadSlowLinks() {
+	w := f.w
+	w.faults.slowLinks = f.delay(400 * time.Millisecond)
+	f.undo(func() {
+		w.faults.slowLinks = 0
+		if slices.ContainsFunc(w.users.list, (*simJob).waitsToBegin) {
+			w.coverage["much more work than room over slow links"]++
+		}
+	})
+	f.submit(8)
+}
+
+func (f *pairedFault) submit(jobs int) {
+	for range jobs {
+		f.w.users.submitNew()
+	}
+}
+
+// crashWithNewMachines gives machines work as soon as they are up, while writes lag, and
+// then the leader ends.
+func (f *pairedFault) crashWithNewMachines() {
+	w := f.w
+	w.faults.fastBoots, w.faults.slowState = true, f.delay(2*time.Second)
+	f.undo(func() { w.faults.fastBoots, w.faults.slowState = false, 0 })
+	f.submit(4)
+	w.after(w.between(500*time.Millisecond, 6*time.Second), func() { w.leading().crash(f.soon) })
+}
+
+// crashAtTheLimits brings work beyond every team's limit, cancels jobs whose machines
+// hang, and ends the leader.
+func (f *pairedFault) crashAtTheLimits() {
+	w := f.w
+	f.submit(12)
+	w.after(f.duration/4, func() { w.users.cancelRunning(f.count, f.hang) })
+	w.after(f.duration/4+w.between(0, time.Second), func() { w.leading().crash(f.soon) })
+}
+
+// allAwayForALease ends all controllers for longer than a lease; one returns first.
+func (f *pairedFault) allAwayForALease() {
+	w := f.w
+	w.after(w.leaseTime()-time.Millisecond, func() { // the first returns right after
+		if !slices.ContainsFunc(w.nodes, func(n *node) bool { return n.core != nil }) {
+			w.coverage["all controllers away for longer than a lease"]++
+		}
+	})
+	for i, n := range w.nodes {
+		n.crash(min(w.leaseTime()+time.Duration(i)*f.soon, max(f.end-w.now, f.soon)))
+	}
+}
--- /dev/null
+++ b/internal/sim/pipelines.go
@@ -0,0 +1,80 @@
+package sim
+
+import (
+	"slices"
+	"time"
+
+	"pumicefront/wire"
+)
+
+// pipeline submits jobs of which each needs the one before, each as soon as that is
+// accepted; the last may come only when the others are over. Some name a job that was
+// there already, some are cancelled at any place and moment.
+func (u *users) pipeline() {
+	w := u.w
+	var before []*simJob
+	if len(u.list) > 0 && w.chance(0.4) {
+		if j := u.list[w.rng.IntN(len(u.list))]; j.accepted && j.spec.Kind == wire.KindArray {
+			before = append(before, j)
+		}
+	}
+	u.stage(before, 0, 2+w.rng.IntN(3), w.chance(0.2))
+}
+
+// wideStage is how many jobs a wide stage has: the next one names more than a transaction
+// takes conditions.
+const wideStage = 25
+
+func (u *users) stage(before []*simJob, n, stages int, late bool) {
+	w := u.w
+	if n == stages {
+		return
+	}
+	width := 1
+	switch {
+	case n > 0 && w.chance(0.3):
+		width = 2
+	case n == 0 && w.chance(0.15):
+		width = wideStage
+	}
+	var jobs []*simJob
+	for range width {
+		j := u.draw()
+		j.spec.Kind, j.spec.Class, j.spec.Priority = wire.KindArray, "stage", "best_effort"
+		j.spec.Tasks, j.run = 1+w.rng.IntN(4), w.between(time.Second, 8*time.Second)
+		if width == wideStage {
+			j.spec.Tasks, j.spec.CPUs, j.spec.Spread = 1, 1, false
+		}
+		j.done, j.needs = make([]bool, j.spec.Tasks), before
+		j.spec.EstimateS = j.run.Seconds()
+		if n == stages-1 {
+			due := 60.0
+			j.spec.Class, j.spec.Priority, j.spec.DeadlineS = "last", "high", &due
+		}
+		for _, p := range before {
+			j.spec.Needs = append(j.spec.Needs, p.spec.ID)
+		}
+		u.jobs[j.spec.ID] = j
+		u.list = append(u.list, j)
+		jobs = append(jobs, j)
+		u.submit(j)
+		if w.chance(0.12) {
+			w.after(w.between(0, 30*time.Second), func() { u.cancel(j) })
+		}
+	}
+	all := func(is func(*simJob) bool) bool {
+		return !slices.ContainsFunc(jobs, func(j *simJob) bool { return !is(j) })
+	}
+	var next func()
+	next = func() {
+		switch {
+		case w.now > u.stop+30*time.Second:
+		case !all(func(j *simJob) bool { return j.accepted }),
+			late && n == stages-2 && !all(func(j *simJob) bool { return j.doneTold || j.cancelTold }):
+			w.after(200*time.Millisecond, next)
+		default:
+			u.stage(jobs, n+1, stages, late)
+		}
+	}
+	next()
+}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -75,23 +75,23 @@
 		}
 		if body, ok := o.Body.(wire.ReportAnswer); ok {
 			token = body.Token
-			w.answersReport(n)
+			w.noteRenewal(n)
 		}
 	}
 	if token < w.topToken {
 		w.broken("authority", "%s acts with token %d after %d", n.name, token, w.topToken)
 	}
 	if token > w.topToken {
-		w.leaderActs(n)
-		for _, fn := range w.kept { // a new leader has begun, or ours has raised its token
+		w.noteLeaderChange(n)
+		for _, fn := range w.keptReports { // a new leader has begun, or ours has raised its token
 			w.after(w.latency(), fn)
 		}
-		w.kept = nil
+		w.keptReports = nil
 	}
 	w.topToken = token
 }
 
-// checkRuns checks that nobody has a task run whose job was called off so long ago that
+// checkRuns checks that nobody has a task run whose job was cancelled so long ago that
 // the run could not be undone in time.
 func (w *World) checkRuns(o controller.Output) {
 	var cs []wire.Command
@@ -106,16 +106,16 @@
 	late := w.cancelTime() - w.leaseTime()
 	for _, c := range cs {
 		if j := w.users.jobOf(c.Task); c.Op == wire.OpRun && j != nil && j.cancelTold && w.now > j.cancelledAt+late {
-			w.broken("ran_cancelled", "%s is told to run, called off at %v", c.Task, j.cancelledAt)
+			w.broken("ran_cancelled", "%s is told to run, cancelled at %v", c.Task, j.cancelledAt)
 		}
 	}
 }
 
-// waitsAtMost is how long a job may wait, once all troubles are over, while a machine
+// waitsAtMost is how long a job may wait, once all faults are over, while a machine
 // that fits has room and its team's limit allows.
 const waitsAtMost = 90 * time.Second
 
-// watchWaiting looks, from the end of the troubles on, for jobs that are left waiting.
+// watchWaiting looks, from the end of the faults on, for jobs that are left waiting.
 func (w *World) watchWaiting(every time.Duration) {
 	since := map[*simJob]time.Duration{}
 	var look func()
@@ -137,7 +137,7 @@
 // waitsBesideRoom tells whether a task of a job that may go anywhere in its zone and on
 // its types is on no machine while one has room for it.
 func (w *World) waitsBesideRoom(j *simJob) bool {
-	if !j.accepted || j.mayBeOff() || j.waits() || j.spec.OneZone || j.spec.Spread || j.left() == 0 && j.spec.Kind == wire.KindArray {
+	if !j.accepted || j.mayBeCancelled() || j.waits() || j.spec.OneZone || j.spec.Spread || j.left() == 0 && j.spec.Kind == wire.KindArray {
 		return false
 	}
 	team, s := w.team(j.spec.Team), j.spec
@@ -158,7 +158,7 @@
 			}
 		}
 		fits := (len(s.Types) == 0 || s.Types[0] == h.typ) && (s.Zone == "" || s.Zone == h.zone) && (s.Spot || !h.spot)
-		well := !h.gone && !h.off && !h.cut && !h.hung && !h.muted && !h.shut && !h.notice && !h.faulty && h.up < w.now
+		well := !h.gone && !h.off && !h.cut && !h.hung && !h.receivesNothing && !h.sendsNothing && !h.notice && !h.faulty && h.up < w.now
 		room = room || fits && well && size.CPUs >= s.CPUs && size.GPUs >= s.GPUs
 	}
 	within := func(used, limit float64) bool { return limit == 0 || used <= limit }
@@ -178,7 +178,7 @@
 func (w *World) checkServed() {
 	all, served := map[string]int{}, map[string]int{}
 	for _, j := range w.users.list {
-		if !j.accepted || j.mayBeOff() {
+		if !j.accepted || j.mayBeCancelled() {
 			continue
 		}
 		for _, group := range []string{"class " + j.spec.Class, "team " + j.spec.Team} {
@@ -196,7 +196,7 @@
 }
 
 // forgottenAfter is how long no question about a job may go unanswered once all
-// troubles are over; beginWithin is when a class's largest jobs must have begun.
+// faults are over; beginWithin is when a class's largest jobs must have begun.
 const (
 	forgottenAfter = 75 * time.Second
 	beginWithin    = 4 * time.Minute
@@ -204,7 +204,7 @@
 
 // checkKnown checks that an accepted job, a finished one too, is still known.
 func (w *World) checkKnown(j *simJob) {
-	if w.calmFrom > 0 && j.accepted && !j.mayBeOff() && w.now-max(j.known, w.calmFrom) > forgottenAfter {
+	if w.faultsEnd > 0 && j.accepted && !j.mayBeCancelled() && w.now-max(j.known, w.faultsEnd) > forgottenAfter {
 		w.broken("forgotten", "nothing is to be learnt of %s since %v", j.spec.ID, j.known)
 	}
 }
@@ -221,7 +221,7 @@
 		return
 	}
 	w.after(beginWithin, func() {
-		if !j.begun && !j.mayBeOff() {
+		if !j.begun && !j.mayBeCancelled() {
 			w.broken("starved", "%s of %d tasks has not begun", j.spec.ID, j.spec.Tasks)
 		}
 	})
@@ -259,8 +259,8 @@
 	case before.done && s.State != wire.StateDone, before.cancelled && s.State != wire.StateCancelled:
 		w.broken("went_back", "%s is called %s", j.spec.ID, s.State)
 	case before.orphaned && (s.State == wire.StateQueued || s.State == wire.StateRunning):
-		w.broken("orphaned", "%s is called %s, one that it needs is called off for long", j.spec.ID, s.State)
-	case s.State == wire.StateCancelled && !j.mayBeOff():
+		w.broken("orphaned", "%s is called %s, one that it needs is cancelled for long", j.spec.ID, s.State)
+	case s.State == wire.StateCancelled && !j.mayBeCancelled():
 		w.broken("went_back", "%s is called cancelled and nobody asked for it", j.spec.ID)
 	case s.State == wire.StateDone && j.left() > 0:
 		w.broken("not_done", "%s is called done with %d tasks left", j.spec.ID, j.left())
@@ -270,10 +270,27 @@
 	}
 	if s.State == wire.StateCancelled && !j.cancelTold {
 		if !j.askedCancel {
-			w.met["a job called off with one that it needs"]++
+			w.coverage["a job cancelled with one that it needs"]++
 		}
 		j.cancelTold, j.cancelledAt = true, w.now
-		w.calledOff(j)
+		w.noteCancellation(j)
 		w.checkCancelled(j)
 	}
 }
+
+// checkEnds checks that every accepted array that nobody cancelled is done, and
+// that something has run at all.
+func (w *World) checkEnds() {
+	ran := false
+	for _, j := range w.users.list {
+		for _, d := range j.done {
+			ran = ran || d
+		}
+		if j.accepted && !j.mayBeCancelled() && j.spec.Kind == wire.KindArray && !j.doneTold {
+			w.broken("unfinished", "%s is not called done, %d of %d tasks left: %+v", j.spec.ID, j.left(), j.spec.Tasks, j.spec)
+		}
+	}
+	if !ran {
+		w.broken("nothing_ran", "no task has finished")
+	}
+}
--- /dev/null
+++ b/internal/sim/runs.go
@@ -0,0 +1,54 @@
+package sim
+
+import (
+	"time"
+)
+
+// RunFaults plays a run with faults drawn from the seed, then a recovery in which
+// everything accepted must come to its end.
+func RunFaults(w *World, faultTime, recovery time.Duration) {
+	w.begin(faultTime)
+	for at := 25 * time.Second; at < faultTime; at += w.between(4*time.Second, 20*time.Second) {
+		fault := w.drawFault(faultTime)
+		w.after(at, fault)
+	}
+	w.Run(faultTime + recovery)
+	if len(w.Rules) == 0 {
+		w.checkEnds()
+	}
+}
+
+// begin has users come until the faults are over.
+func (w *World) begin(faultTime time.Duration) {
+	u := w.users
+	u.stop = faultTime
+	w.after(time.Second, func() { u.arrive(w.shape.ArrivalInterval) })
+	w.after(faultTime, func() { w.faultsEnd = w.now })
+	w.after(5*time.Second, u.askUnknownJobs)
+}
+
+// RunFaultPairs plays a run on which faults come in pairs, the second while the first
+// lasts: most rules that were ever broken broke there. One of each pair is of those
+// that change what the world does for a while, the other any fault.
+func RunFaultPairs(w *World, faultTime, recovery time.Duration) {
+	w.begin(faultTime)
+	w.after(faultTime, func() { w.watchWaiting(5 * time.Second) })
+	if w.shape.Chains {
+		for at := 3 * time.Second; at < faultTime-20*time.Second; at += w.between(2*time.Second, 14*time.Second) {
+			w.after(at, w.users.pipeline)
+		}
+		w.after(w.between(20*time.Second, faultTime), func() {
+			w.coverage["the state service lowers its limits"]++
+			w.store.lower()
+		})
+	}
+	for at := 20 * time.Second; at < faultTime; at += w.between(4*time.Second, 16*time.Second) {
+		w.after(at, w.drawPairedFault(faultTime))
+		w.after(at+w.between(0, 3*time.Second), w.drawFault(faultTime))
+	}
+	w.Run(faultTime + recovery)
+	if len(w.Rules) == 0 {
+		w.checkEnds()
+		w.checkServed()
+	}
+}
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -11,7 +11,7 @@
 	"pumicefront/wire"
 )
 
-// settled is a day in which a service and an array run and nothing has failed.
+// settled is a run in which a service and an array run and nothing has failed.
 func settled(t *testing.T, seed uint64) *World {
 	t.Helper()
 	return settledOn(t, seed, Small, func(*World) {})
@@ -108,9 +108,9 @@
 func TestDeafLeaderKeepsLeases(t *testing.T) {
 	w := settled(t, 3)
 	n := leader(w)
-	n.deaf = true
+	n.workersCut = true
 	w.Run(w.now + 40*time.Second)
-	n.deaf = false
+	n.workersCut = false
 	w.Run(w.now + 10*time.Second)
 	checkKept(t, w)
 }
@@ -161,7 +161,7 @@
 func TestChangesPerJob(t *testing.T) {
 	w := New(20, Grown)
 	w.users.stop = 60 * time.Second
-	w.after(time.Second, func() { w.users.arrive(w.shape.Arrive) })
+	w.after(time.Second, func() { w.users.arrive(w.shape.ArrivalInterval) })
 	w.Run(2 * time.Minute)
 	jobs, tasks := 0, 0
 	for _, j := range w.users.list {
@@ -215,14 +215,14 @@
 func TestLeaderThatStandsStill(t *testing.T) {
 	w := settled(t, 7)
 	old := leader(w)
-	old.stand(30 * time.Second)
+	old.pause(30 * time.Second)
 	w.Run(w.now + 12*time.Second)
 	if leader(w) == old {
 		t.Error("a leader that stands still has the workers")
 	}
 	checkKept(t, w)
 	w.Run(w.now + 20*time.Second)
-	if old.frozen {
+	if old.paused {
 		t.Fatal("it still stands")
 	}
 	ready := 0
@@ -241,7 +241,7 @@
 func TestAllStandStill(t *testing.T) {
 	w := settled(t, 8)
 	for _, n := range w.nodes {
-		n.stand(6 * time.Second)
+		n.pause(6 * time.Second)
 	}
 	w.Run(w.now + 25*time.Second)
 	checkKept(t, w)
@@ -276,9 +276,9 @@
 		t.Fatalf("%d machines are at work, want many", len(busy))
 	}
 	n := leader(w)
-	n.deaf = true
+	n.workersCut = true
 	w.Run(w.now + 40*time.Second)
-	n.deaf = false
+	n.workersCut = false
 	w.Run(w.now + 10*time.Second)
 	released := 0
 	for h := range busy {
@@ -327,11 +327,11 @@
 		if !held {
 			t.Fatal("the submission has not come to its write")
 		}
-		w.faults.closeLooks = true
+		w.faults.askAllNodes = true
 		callOffAt(t, w, w.nodes[0], array)
 		for range 400 {
 			for _, n := range w.nodes {
-				w.users.look(n, later, controller.UserRequest{Op: controller.UserPoll, Job: second})
+				w.users.askNode(n, later, controller.UserRequest{Op: controller.UserPoll, Job: second})
 			}
 			w.Run(w.now + 20*time.Millisecond)
 		}
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -217,7 +217,7 @@
 	if x.done {
 		return true
 	}
-	if s.outage || x.n.refused || x.n.cutOff {
+	if s.outage || x.n.refused || x.n.isolated {
 		return false // open watches wait
 	}
 	events := s.changes(x.prefix, x.after)
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -35,36 +35,6 @@
 	needs       []*simJob
 }
 
-// told is what a job's user has been told for good, and whether a job before it has been
-// called off for so long that no task and no other state of it may be left.
-type told struct{ done, cancelled, orphaned bool }
-
-func (w *World) told(j *simJob) told {
-	at, off := j.needsCalledOff()
-	return told{j.doneTold, j.cancelTold, off && w.now > at+w.cancelTime()}
-}
-
-// needsCalledOff tells whether and since when the user of a job before this one has been
-// told that it is called off.
-func (j *simJob) needsCalledOff() (at time.Duration, off bool) {
-	for _, p := range j.needs {
-		t, o := p.needsCalledOff()
-		if p.cancelTold && (!o || p.cancelledAt < t) {
-			t, o = p.cancelledAt, true
-		}
-		if o && (!off || t < at) {
-			at, off = t, true
-		}
-	}
-	return at, off
-}
-
-// mayBeOff tells whether a job may be cancelled: somebody has asked for it, or for one before
-// it, and has not been told that it is done.
-func (j *simJob) mayBeOff() bool {
-	return !j.doneTold && (j.askedCancel || slices.ContainsFunc(j.needs, (*simJob).mayBeOff))
-}
-
 func (j *simJob) left() int {
 	n := 0
 	for _, d := range j.done {
@@ -95,13 +65,13 @@
 	u.enter(u.draw())
 }
 
-// submitOne submits a job of one task that a quarter of users call off soon.
+// submitOne submits a job of one task that a quarter of users cancel soon.
 func (u *users) submitOne() {
 	j := u.draw()
 	j.spec.Tasks, j.done, j.run = 1, j.done[:1], u.w.between(time.Second, 4*time.Second)
 	u.enter(j)
 	if u.w.chance(0.25) {
-		u.w.met["one-task job of a burst called off"]++
+		u.w.coverage["one-task job of a burst cancelled"]++
 		u.w.after(u.w.between(0, 6*time.Second), func() { u.cancel(j) })
 	}
 }
@@ -143,78 +113,6 @@
 	}
 }
 
-// pipeline submits jobs of which each needs the one before, each as soon as that is
-// accepted; the last may come only when the others are over. Some name a job that was
-// there already, some are called off at any place and moment.
-func (u *users) pipeline() {
-	w := u.w
-	var before []*simJob
-	if len(u.list) > 0 && w.chance(0.4) {
-		if j := u.list[w.rng.IntN(len(u.list))]; j.accepted && j.spec.Kind == wire.KindArray {
-			before = append(before, j)
-		}
-	}
-	u.stage(before, 0, 2+w.rng.IntN(3), w.chance(0.2))
-}
-
-// wideStage is how many jobs a wide stage has: the next one names more than a transaction
-// takes conditions.
-const wideStage = 25
-
-func (u *users) stage(before []*simJob, n, stages int, late bool) {
-	w := u.w
-	if n == stages {
-		return
-	}
-	width := 1
-	switch {
-	case n > 0 && w.chance(0.3):
-		width = 2
-	case n == 0 && w.chance(0.15):
-		width = wideStage
-	}
-	var jobs []*simJob
-	for range width {
-		j := u.draw()
-		j.spec.Kind, j.spec.Class, j.spec.Priority = wire.KindArray, "stage", "best_effort"
-		j.spec.Tasks, j.run = 1+w.rng.IntN(4), w.between(time.Second, 8*time.Second)
-		if width == wideStage {
-			j.spec.Tasks, j.spec.CPUs, j.spec.Spread = 1, 1, false
-		}
-		j.done, j.needs = make([]bool, j.spec.Tasks), before
-		j.spec.EstimateS = j.run.Seconds()
-		if n == stages-1 {
-			due := 60.0
-			j.spec.Class, j.spec.Priority, j.spec.DeadlineS = "last", "high", &due
-		}
-		for _, p := range before {
-			j.spec.Needs = append(j.spec.Needs, p.spec.ID)
-		}
-		u.jobs[j.spec.ID] = j
-		u.list = append(u.list, j)
-		jobs = append(jobs, j)
-		u.submit(j)
-		if w.chance(0.12) {
-			w.after(w.between(0, 30*time.Second), func() { u.cancel(j) })
-		}
-	}
-	all := func(is func(*simJob) bool) bool {
-		return !slices.ContainsFunc(jobs, func(j *simJob) bool { return !is(j) })
-	}
-	var next func()
-	next = func() {
-		switch {
-		case w.now > u.stop+30*time.Second:
-		case !all(func(j *simJob) bool { return j.accepted }),
-			late && n == stages-2 && !all(func(j *simJob) bool { return j.doneTold || j.cancelTold }):
-			w.after(200*time.Millisecond, next)
-		default:
-			u.stage(jobs, n+1, stages, late)
-		}
-	}
-	next()
-}
-
 // needGPUs makes a job one that takes GPUs, where its team has any, with so many cores
 // that two tasks don't always fit on a small machine; an array gets a deadline.
 func (w *World) needGPUs(j *simJob) {
@@ -232,23 +130,6 @@
 // body spells a submission as a user does; a zero amount must not go missing.
 func body(s wire.Job) []byte { return wire.Marshal(s) }
 
-// lacking spells a submission without one of the fields that it must have.
-func (w *World) lacking(s wire.Job) []byte {
-	var fields map[string]any
-	if err := wire.Unmarshal(body(s), &fields); err != nil {
-		panic(err)
-	}
-	var required []string
-	for name, v := range fields {
-		if v != nil && v != "" {
-			required = append(required, name)
-		}
-	}
-	slices.Sort(required)
-	delete(fields, required[w.rng.IntN(len(required))])
-	return wire.Marshal(fields)
-}
-
 // request sends to a random node; fn gets the answer, or status 0.
 func (u *users) request(r controller.UserRequest, fn func(controller.Answer)) {
 	u.requestOf(u.w.nodes[u.w.rng.IntN(len(u.w.nodes))], r, fn)
@@ -292,16 +173,16 @@
 			u.w.checkState(j, before, a.Body.(wire.JobState))
 			if first {
 				if len(j.needs) >= wideStage {
-					u.w.met["a job accepted with a long list of needed jobs"]++
+					u.w.coverage["a job accepted with a long list of needed jobs"]++
 				}
 				for _, p := range j.needs {
 					if p.cancelTold {
-						u.w.met["a job accepted that needs a cancelled one"]++
+						u.w.coverage["a job accepted that needs a cancelled one"]++
 					} else if p.doneTold {
-						u.w.met["a job accepted that needs a finished one"]++
+						u.w.coverage["a job accepted that needs a finished one"]++
 					}
 				}
-				u.lookClosely(j)
+				u.askAllNodes(j)
 				u.poll(j)
 				u.w.after(u.w.between(5*time.Second, 60*time.Second), func() { u.submit(j) }) // a late repeat
 			}
@@ -325,7 +206,7 @@
 		}
 		u.w.checkKnown(j)
 		wait := u.w.between(2*time.Second, 6*time.Second)
-		if u.w.calmFrom == 0 && (j.doneTold || j.cancelTold) {
+		if u.w.faultsEnd == 0 && (j.doneTold || j.cancelTold) {
 			wait *= 6
 		}
 		u.w.after(wait, func() { u.poll(j) })
@@ -339,9 +220,9 @@
 		if a.Status == http.StatusOK {
 			u.w.checkState(j, before, a.Body.(wire.JobState))
 			if j.doneTold && slices.ContainsFunc(u.list, func(later *simJob) bool { return slices.Contains(later.needs, j) }) {
-				u.w.met["a cancellation answered with done, and jobs that need the job go on"]++
+				u.w.coverage["a cancellation answered with done, and jobs that need the job go on"]++
 			}
-			u.lookClosely(j)
+			u.askAllNodes(j)
 			return
 		}
 		if a.Status == http.StatusNotFound && accepted {
@@ -351,30 +232,30 @@
 	})
 }
 
-// strangers ask about jobs that nobody submitted.
-func (u *users) strangers() {
+// askUnknownJobs ask about jobs that nobody submitted.
+func (u *users) askUnknownJobs() {
 	id := fmt.Sprintf("req-9%08d", u.w.rng.IntN(1e8))
 	u.request(controller.UserRequest{Op: controller.UserPoll, Job: id}, func(a controller.Answer) {
 		if a.Status == http.StatusOK {
 			u.w.broken("invented", "%s", id)
 		}
 	})
-	u.w.after(u.w.between(3*time.Second, 9*time.Second), u.strangers)
+	u.w.after(u.w.between(3*time.Second, 9*time.Second), u.askUnknownJobs)
 }
 
 // ended is called as the last task of a job ends: some users call it off right then.
 func (u *users) ended(j *simJob) {
 	if u.w.chance(u.w.faults.cancelAtEnd) {
-		u.w.met["called off at the end of its last task"]++
+		u.w.coverage["cancelled at the end of its last task"]++
 		u.cancel(j)
 	}
-	u.lookClosely(j)
+	u.askAllNodes(j)
 }
 
-// lookClosely asks all nodes about a job within milliseconds, and repeats its
+// askAllNodes asks all nodes about a job within milliseconds, and repeats its
 // submission at each: none may answer something older than any has said.
-func (u *users) lookClosely(j *simJob) {
-	if !u.w.faults.closeLooks {
+func (u *users) askAllNodes(j *simJob) {
+	if !u.w.faults.askAllNodes {
 		return
 	}
 	for range 3 {
@@ -383,16 +264,16 @@
 				{Op: controller.UserPoll, Job: j.spec.ID},
 				{Op: controller.UserSubmit, Job: j.spec.ID, Body: body(j.spec)},
 			} {
-				u.w.after(u.w.between(0, 20*time.Millisecond), func() { u.look(n, j, r) })
+				u.w.after(u.w.between(0, 20*time.Millisecond), func() { u.askNode(n, j, r) })
 			}
 		}
 	}
 }
 
-func (u *users) look(n *node, j *simJob, r controller.UserRequest) {
+func (u *users) askNode(n *node, j *simJob, r controller.UserRequest) {
 	before, accepted := u.w.told(j), j.accepted
 	if before.done || before.cancelled {
-		u.w.met["asked at all nodes after a final answer"]++
+		u.w.coverage["asked at all nodes after a final answer"]++
 	}
 	u.requestOf(n, r, func(a controller.Answer) {
 		switch {
@@ -406,9 +287,9 @@
 	})
 }
 
-// callOff cancels up to count jobs that run and have long to go, within a fifth of a
+// cancelRunning cancels up to count jobs that run and have long to go, within a fifth of a
 // second; up to eight of their machines hang for a while. It returns the jobs.
-func (u *users) callOff(count int, hang time.Duration) []*simJob {
+func (u *users) cancelRunning(count int, hang time.Duration) []*simJob {
 	var jobs []*simJob
 	hung := map[*host]bool{}
 	u.w.running(func(h *host, t *task) {
@@ -430,7 +311,7 @@
 			}
 		})
 	}
-	for _, h := range u.w.hosts { // not the map's order: a seed's day is always the same
+	for _, h := range u.w.hosts { // not the map's order: a seed's run is always the same
 		if hung[h] {
 			h.setHung(true)
 			u.w.after(hang, func() { h.setHung(false) })
@@ -438,44 +319,3 @@
 	}
 	return jobs
 }
-
-// oddRequests repeats submissions, cancels jobs that are done, and sends jobs that fit
-// no machine, exceed a limit, name nobody's team or lack a field.
-func (u *users) oddRequests() {
-	w := u.w
-	if len(u.list) == 0 {
-		return
-	}
-	j := u.list[w.rng.IntN(len(u.list))]
-	if j.accepted {
-		u.look(w.nodes[w.rng.IntN(len(w.nodes))], j, controller.UserRequest{Op: controller.UserSubmit, Job: j.spec.ID, Body: body(j.spec)})
-		if j.doneTold {
-			u.cancel(j)
-		}
-	}
-	odd := j.spec
-	odd.ID = fmt.Sprintf("req-8%08d", w.rng.IntN(1e8))
-	want := http.StatusUnprocessableEntity
-	raw := body(odd)
-	switch w.rng.IntN(4) {
-	case 0:
-		odd.CPUs = 1000
-		raw = body(odd)
-	case 1:
-		odd.Team = "nobody"
-		raw = body(odd)
-	case 2:
-		odd.Types = []string{"none"}
-		raw = body(odd)
-	case 3:
-		odd.Types, odd.Zone, odd.DeadlineS, odd.Needs = nil, "", nil, nil // what may be null may be missing
-		raw, want = w.lacking(odd), http.StatusBadRequest
-	}
-	u.request(controller.UserRequest{Op: controller.UserSubmit, Job: odd.ID, Body: raw}, func(a controller.Answer) {
-		switch a.Status {
-		case want, 0, http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		default:
-			w.broken("invented", "a job that can't run or lacks a field gets %d, not %d", a.Status, want)
-		}
-	})
-}
