--- a/client/client.go
+++ b/client/client.go
@@ -54,10 +54,10 @@
 	}
 }
 
-// do sends one request and returns the status and body. The body of a request
+// request sends one request and returns the status and body. The body of a request
 // can't be rewound, so that net/http never sends a second copy on its own:
 // a copy that the core doesn't know of could run after it was given up.
-func do(by *http.Client, timeout time.Duration, method, target string, body any) (int, []byte, error) {
+func request(by *http.Client, timeout time.Duration, method, target string, body any) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var reader io.Reader
@@ -115,13 +115,13 @@
 		into = &reply.Watch
 	}
 	// A refused transaction tells what failed in the same form.
-	reply.Status = fetch(c.services, call.Timeout, method, target, body, into, call.Op == controller.OpTxn)
+	reply.Status = callAndDecode(c.services, call.Timeout, method, target, body, into, call.Op == controller.OpTxn)
 	return reply
 }
 
-// fetch calls and decodes the answer into into; status 0 stands for none.
-func fetch(by *http.Client, timeout time.Duration, method, target string, body, into any, always bool) int {
-	status, raw, err := do(by, timeout, method, target, body)
+// callAndDecode calls and decodes the answer into into; status 0 stands for none.
+func callAndDecode(by *http.Client, timeout time.Duration, method, target string, body, into any, always bool) int {
+	status, raw, err := request(by, timeout, method, target, body)
 	if err != nil {
 		return 0
 	}
@@ -158,7 +158,7 @@
 	case controller.CloudRelease:
 		method, target, body = http.MethodPost, target+wire.PathRelease, wire.Names{Machines: call.Names}
 	}
-	reply.Status = fetch(c.services, call.Timeout, method, target, body, into, false)
+	reply.Status = callAndDecode(c.services, call.Timeout, method, target, body, into, false)
 	return reply
 }
 
@@ -176,6 +176,6 @@
 	if !c.entitled() {
 		return reply
 	}
-	reply.Status = fetch(c.workers, cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands, &reply.Report, true)
+	reply.Status = callAndDecode(c.workers, cmd.Timeout, http.MethodPost, "http://"+cmd.Addr+wire.PathCommands, cmd.Commands, &reply.Report, true)
 	return reply
 }
--- a/controller/authority.go
+++ b/controller/authority.go
@@ -31,16 +31,21 @@
 	if c.lead == nil {
 		return time.Time{}
 	}
-	until := c.lead.authority
-	if c.promises.promisedUntil.After(until) {
-		until = c.promises.promisedUntil
-	}
+	until := c.grantedUntil()
 	if deadline := c.lead.renewalDeadline(); deadline.Before(until) {
 		until = deadline
 	}
 	return until
 }
 
+// grantedUntil is until when the leader's lease, or the promises of all others, last.
+func (c *Core) grantedUntil() time.Time {
+	if c.promises.promisedUntil.After(c.lead.authority) {
+		return c.promises.promisedUntil
+	}
+	return c.lead.authority
+}
+
 // extend counts the authority from before the renewal was sent, less what the
 // clocks may drift apart.
 func (l *leader) extend(sent time.Time) {
--- a/controller/chain_admission.go
+++ b/controller/chain_admission.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 
-	"pumicefront/reduction"
 	"pumicefront/wire"
 )
 
@@ -94,7 +93,7 @@
 			continue
 		case c.control.headers[id] != nil:
 			ends = c.unknownEnds(id, visited, ends)
-		case c.chains.Status(id) == reduction.Pending:
+		case c.endUnknown(id):
 			ends = append(ends, id)
 		}
 		visited[id] = true
--- a/controller/chains.go
+++ b/controller/chains.go
@@ -48,7 +48,7 @@
 			l.settle(j)
 		}
 	}
-	if len(c.chains.Successors(id)) > 0 && c.chains.Status(id) == reduction.Pending {
+	if len(c.chains.Successors(id)) > 0 && c.endUnknown(id) {
 		l.fetchEnd(id)
 	}
 }
@@ -100,6 +100,12 @@
 	return len(j.spec.Needs) > 0 && l.c.chains.Classify(j.id) == reduction.Waiting
 }
 
+// endUnknown tells whether this controller has neither the header nor the end of a job that
+// others need.
+func (c *Core) endUnknown(id string) bool {
+	return c.control.headers[id] == nil && c.chains.Status(id) == reduction.Pending
+}
+
 // fetchEnd finds out how a job ended that others need and whose header is gone: nothing
 // but its final record tells.
 func (l *leader) fetchEnd(id string) {
@@ -123,7 +129,7 @@
 func (l *leader) fetchEnds() {
 	for _, j := range l.order {
 		for _, p := range j.spec.Needs {
-			if l.c.control.headers[p] == nil && l.c.chains.Status(p) == reduction.Pending {
+			if l.c.endUnknown(p) {
 				l.fetchEnd(p)
 			}
 		}
--- a/controller/core.go
+++ b/controller/core.go
@@ -83,14 +83,13 @@
 func New(cfg *config.Platform, op config.Operator, rng *rand.Rand, now time.Time) *Core {
 	share := 1 / float64(len(cfg.Others)+1)
 	st := cfg.Facts.State
-	burst := max(2, int(st.Tightest().WriteRPS*burstShare))
 	c := &Core{
 		cfg: cfg, op: op, rng: rng, now: now,
 		stateCalls:  map[uint64]func(StateReply){},
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
 		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
-		writes:      rate.NewLimiter(rate.Limit(st.WriteRPS*userShare*share), burst),
+		writes:      rate.NewLimiter(0, writeBurst(st)),
 		types:       map[string]wire.MachineType{},
 		quotas:      map[string]quota{},
 		progress:    map[string]jobCount{},
@@ -104,6 +103,7 @@
 	for _, t := range cfg.Facts.Teams {
 		c.quotas[t.Name] = quotaOf(t)
 	}
+	c.writes.SetLimitAt(now, c.userRate())
 	c.final.init()
 	c.control.init()
 	c.promises.started = now
--- a/controller/election.go
+++ b/controller/election.go
@@ -82,7 +82,7 @@
 }
 
 func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
-	burst := max(2, int(c.cfg.Facts.State.Tightest().WriteRPS*burstShare))
+	burst := writeBurst(c.cfg.Facts.State)
 	l := &leader{
 		c: c, token: token, electedToken: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
--- a/controller/promises.go
+++ b/controller/promises.go
@@ -141,10 +141,7 @@
 		r.lastProcessStart = started
 	}
 	r.granted[from] = true
-	held := p.promisedUntil
-	if l.authority.After(held) {
-		held = l.authority
-	}
+	held := c.grantedUntil()
 	if len(r.granted) < len(c.cfg.Others) || !c.now.Before(held) && r.lastProcessStart.After(held) {
 		return
 	}
--- a/controller/rate_limits.go
+++ b/controller/rate_limits.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"net/http"
 
+	"pumicefront/config"
+
 	"golang.org/x/time/rate"
 )
 
@@ -48,6 +50,11 @@
 	return c.cfg.Facts.State.WriteRPS
 }
 
+// writeBurst is how many changes may be made at once.
+func writeBurst(state config.State) int {
+	return max(2, int(state.Tightest().WriteRPS*burstShare))
+}
+
 // userRate is what of that each controller spends on users.
 func (c *Core) userRate() rate.Limit {
 	return rate.Limit(c.writeRate() * userShare / float64(len(c.cfg.Others)+1))
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -86,7 +86,7 @@
 
 // Two small tasks side by side leave room for one more large one than the same
 // two on two machines.
-func TestLoosePlacementCrowdsOutLittle(t *testing.T) {
+func TestSpreadPlacementDisplacesLittle(t *testing.T) {
 	ms := machines(2, "x", 16)
 	ms[0].Images["img"], ms[1].Images["img"] = true, true
 	d := demand(2, 2)
@@ -97,7 +97,7 @@
 }
 
 // An image that is nowhere yet comes to as many machines as there are tasks.
-func TestLoosePlacementSpreadsANewImage(t *testing.T) {
+func TestPlacementSpreadsANewImage(t *testing.T) {
 	ms := machines(2, "x", 16)
 	d := demand(2, 2)
 	d.SpreadImages, d.OtherClasses = true, []Resources{{CPUs: 4}}
@@ -219,10 +219,10 @@
 	}
 }
 
-// crowd plays rounds on one machine-sized world: small jobs never stop coming, and
+// simulateLoad plays rounds on one machine-sized world: small jobs never stop coming, and
 // each class and team has one large job. It returns when each large one began and
 // how many of its tasks were placed.
-func crowd(t *testing.T, large []*Demand) (began map[string]int, served map[string]int) {
+func simulateLoad(t *testing.T, large []*Demand) (began map[string]int, served map[string]int) {
 	t.Helper()
 	ms := machines(4, "x", 16)
 	began, served = map[string]int{}, map[string]int{}
@@ -307,7 +307,7 @@
 	gang := demand(3, 12)
 	gang.Job, gang.Class, gang.Team, gang.Rank, gang.WorkS, gang.Gang = "gang", "gang", "blue", 2, 1e6, true
 	large = append(large, whole, gang)
-	began, served := crowd(t, large)
+	began, served := simulateLoad(t, large)
 	for _, d := range large {
 		if at, ok := began[d.Job]; !ok || at > 240 {
 			t.Errorf("%s began after %d rounds, ever: %v", d.Job, at, ok)
--- a/server/server.go
+++ b/server/server.go
@@ -53,11 +53,11 @@
 // How the sockets are shared: most for users and workers, some for calls of
 // workers, the rest for the state service, the cloud, the other controllers and
 // connections that wait to be accepted.
-func (s *Server) maxOpen() int  { return s.cfg.Facts.Resources.MaxConnections * 3 / 4 }
-func (s *Server) crowded() bool { return s.open.Load() > int64(s.maxOpen()*5/6) }
+func (s *Server) maxConnections() int       { return s.cfg.Facts.Resources.MaxConnections * 3 / 4 }
+func (s *Server) nearConnectionLimit() bool { return s.open.Load() > int64(s.maxConnections()*5/6) }
 
-// count follows the number of open connections.
-func (s *Server) count(_ net.Conn, state http.ConnState) {
+// trackConnection follows the number of open connections.
+func (s *Server) trackConnection(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		s.open.Add(1)
@@ -122,11 +122,11 @@
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10, ConnState: s.count}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10, ConnState: s.trackConnection}
 	failed := make(chan error, 1)
 	// Beyond the limit connections wait unaccepted, and the load balancer tries
 	// another controller; the rest of the sockets is for the core's own calls.
-	ln = netutil.LimitListener(ln, s.maxOpen())
+	ln = netutil.LimitListener(ln, s.maxConnections())
 	go func() { failed <- h.Serve(ln) }()
 	go s.loop(ctx)
 	slog.Info("serving", "member", s.cfg.Member, "addr", s.cfg.Listen)
@@ -231,7 +231,7 @@
 			respond(w, overloaded())
 			return
 		}
-		if _, report := in.(controller.ReportRequest); report && s.crowded() {
+		if _, report := in.(controller.ReportRequest); report && s.nearConnectionLimit() {
 			// There may be more workers than sockets: none keeps one between reports.
 			w.Header().Set("Connection", "close")
 		}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -101,8 +101,8 @@
 	if got := ask("/v1/report", report); got != "" {
 		t.Errorf("connection %q though there are sockets", got)
 	}
-	for range s.maxOpen() {
-		s.count(nil, http.StateNew)
+	for range s.maxConnections() {
+		s.trackConnection(nil, http.StateNew)
 	}
 	if got := ask("/v1/report", report); got != "close" {
 		t.Errorf("connection %q for a worker where it is crowded", got)
@@ -110,8 +110,8 @@
 	if got := ask("/v2/runs", []byte("x")); got != "" {
 		t.Errorf("connection %q for a user", got)
 	}
-	s.count(nil, http.StateClosed)
-	if s.open.Load() != int64(s.maxOpen()-1) {
+	s.trackConnection(nil, http.StateClosed)
+	if s.open.Load() != int64(s.maxConnections()-1) {
 		t.Errorf("%d connections open", s.open.Load())
 	}
 }
