controller: an attempt's phase is one state that only advances

recorded, sent, seen and running implied one another; as four booleans nothing kept them so. attemptPhase with checked advance replaces them; stopping and restored are independent of it and stay. TestAttemptsOnlyAdvance is new; the other tests set the phase where they set the booleans.

--- /dev/null
+++ b/controller/attempt_test.go
@@ -0,0 +1,33 @@
+package controller
+
+import (
+	"testing"
+
+	"pumicefront/wire"
+)
+
+// An attempt that runs is still known to run when its run is sent again, or when a report
+// shows it fetching: otherwise it would pass for one that was never started, and be placed
+// anew.
+func TestAttemptsOnlyAdvance(t *testing.T) {
+	_, l, j := leading(t)
+	m := l.machine("i-1")
+	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1})
+	a := place(l, j, 0, m)
+	for _, step := range []struct {
+		do   func()
+		want attemptPhase
+	}{
+		{func() {}, attemptRecorded},
+		{func() { l.runCommand(a) }, attemptSent},
+		{func() { l.attemptSeen(a, wire.TaskFetching) }, attemptSeen},
+		{func() { l.runCommand(a) }, attemptSeen},
+		{func() { l.attemptSeen(a, wire.TaskRunning) }, attemptRunning},
+		{func() { l.attemptSeen(a, wire.TaskFetching) }, attemptRunning},
+		{func() { l.runCommand(a) }, attemptRunning},
+	} {
+		if step.do(); a.phase != step.want {
+			t.Fatalf("phase %d, want %d", a.phase, step.want)
+		}
+	}
+}
--- a/controller/chains.go
+++ b/controller/chains.go
@@ -175,7 +175,7 @@
 			return false
 		}
 		for _, a := range needed.attempts {
-			if !a.running || l.remaining(a) > boot {
+			if a.phase < attemptRunning || l.remaining(a) > boot {
 				return false
 			}
 		}
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -19,7 +19,7 @@
 	for _, a := range m.list {
 		if a.stopping {
 			cs = append(cs, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: a.grace})
-		} else if !a.seen && l.mayRun(a) {
+		} else if a.phase < attemptSeen && l.mayRun(a) {
 			cs = append(cs, l.runCommand(a))
 		}
 	}
@@ -44,11 +44,11 @@
 // more than a team's limit or a job's constraints allow. What does run of it is kept;
 // the rest is gone by the first report that has seen our token, and placed anew.
 func (l *leader) mayRun(a *attempt) bool {
-	return a.recorded && !a.restored && !a.stopping && !a.job.cancelled && a.session == a.machine.session && !a.machine.releasing
+	return a.phase >= attemptRecorded && !a.restored && !a.stopping && !a.job.cancelled && a.session == a.machine.session && !a.machine.releasing
 }
 
 func (l *leader) runCommand(a *attempt) wire.Command {
-	a.sent = true
+	a.advance(attemptSent)
 	a.token = l.token
 	a.machine.runToken[a.key()] = l.token
 	return wire.Command{Op: wire.OpRun, Task: a.taskID(), Attempt: a.number}
@@ -70,7 +70,7 @@
 // run was not sent will not be: nobody else would ever prove it gone. While its
 // record is being written, the end of the write sees to it.
 func (l *leader) stop(a *attempt, grace float64) {
-	if w := a.job.write; !a.sent && (w == nil || !slices.Contains(w.attempts, a)) {
+	if w := a.job.write; a.phase < attemptSent && (w == nil || !slices.Contains(w.attempts, a)) {
 		l.gone(a, reduction.Reset, "never sent")
 		return
 	}
@@ -82,7 +82,7 @@
 	}
 	a.stopping, a.grace = true, grace
 	a.machine.snapshot = nil
-	if a.sent {
+	if a.phase >= attemptSent {
 		a.machine.stops = append(a.machine.stops, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: grace})
 		l.hasToSend(a.machine)
 	}
@@ -108,7 +108,7 @@
 		}
 		cs := m.stops
 		for _, a := range m.outbox {
-			if l.mayRun(a) && !a.seen && a.job.attempts[a.task] == a {
+			if l.mayRun(a) && a.phase < attemptSeen && a.job.attempts[a.task] == a {
 				cs = append(cs, l.runCommand(a))
 			}
 		}
--- a/controller/commands_test.go
+++ b/controller/commands_test.go
@@ -81,7 +81,7 @@
 	l.apply(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: 7})
 	young, old := place(l, j, 0, m), place(l, j, 1, m)
 	for _, a := range []*attempt{young, old} {
-		a.sent, a.seen, a.running, a.since = true, true, true, c.now
+		a.phase, a.since = attemptRunning, c.now
 	}
 	old.since = c.now.Add(-45 * time.Second)
 	left := 20.0
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -64,7 +64,7 @@
 	}
 	used := 0.0
 	for _, a := range m.list {
-		if a.job.spec.Kind != wire.KindService || !a.running || a.stopping || l.c.now.Sub(a.since) < settledFor ||
+		if a.job.spec.Kind != wire.KindService || a.phase < attemptRunning || a.stopping || l.c.now.Sub(a.since) < settledFor ||
 			!l.fitsCheaper(&a.job.spec, m) && l.headroomShare(&a.job.spec) > 0 {
 			return false
 		}
--- a/controller/consolidation_test.go
+++ b/controller/consolidation_test.go
@@ -37,7 +37,7 @@
 		run := func(id, kind string, m *machine) *attempt {
 			j := l.addJob(id, &headerRecord{PerChunk: 10, Job: wire.Job{ID: id, Kind: kind, Team: "red", Priority: "prod", Tasks: 1, CPUs: 2, Image: "img"}})
 			a := place(l, j, 0, m)
-			a.sent, a.seen, a.running, a.since, j.begun = true, true, true, core.now.Add(-c.ran), true
+			a.phase, a.since, j.begun = attemptRunning, core.now.Add(-c.ran), true
 			return a
 		}
 		for i, n := range []int{3, 1} {
--- a/controller/draining.go
+++ b/controller/draining.go
@@ -20,7 +20,7 @@
 // remaining estimates for how many seconds an attempt will go on. One that runs for
 // longer than its owner thought may do so for a while.
 func (l *leader) remaining(a *attempt) float64 {
-	if !a.running {
+	if a.phase < attemptRunning {
 		return a.job.spec.EstimateS
 	}
 	ran := l.c.now.Sub(a.since).Seconds()
--- a/controller/failure_detector_test.go
+++ b/controller/failure_detector_test.go
@@ -152,7 +152,7 @@
 			id := fmt.Sprintf("req-1%d", i)
 			j := l.addJob(id, &headerRecord{PerChunk: 1, Job: wire.Job{ID: id, Kind: wire.KindService, Priority: p, Tasks: 1, CPUs: 4}})
 			a := place(l, j, 0, m)
-			a.sent, a.seen, a.running = true, true, true
+			a.phase = attemptRunning
 			ms = append(ms, m)
 		}
 		l.listening, l.listened = c.now, c.now
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		for _, a := range j.attempts {
-			if a.running && j.spec.EstimateS-l.c.now.Sub(a.since).Seconds() < boot {
+			if a.phase == attemptRunning && j.spec.EstimateS-l.c.now.Sub(a.since).Seconds() < boot {
 				room += l.c.measure.Of(jobEach(&j.spec))
 			}
 		}
--- a/controller/job.go
+++ b/controller/job.go
@@ -53,31 +53,6 @@
 	dirty   bool
 }
 
-// attempt is one try of a task on a machine, in force until it is proved gone.
-type attempt struct {
-	job         *job
-	task        int
-	number      uint64
-	machine     *machine
-	session     uint64 // that its run command is addressed to
-	token       uint64 // the highest that its run may have been sent with
-	recorded    bool   // the record is written: run may be sent
-	sent        bool
-	restored    bool // an earlier leader's: its run is not sent again
-	seen        bool // a report has shown it
-	running     bool
-	placedByAge bool // placed after waiting its turn
-	placed      time.Time
-	since       time.Time // running since
-	stopping    bool
-	stoppedAt   time.Time
-	grace       float64
-}
-
-func (a *attempt) taskID() string { return wire.TaskID(a.job.id, a.task) }
-
-func (a *attempt) key() taskKey { return taskKey{a.taskID(), a.number} }
-
 func jobEach(j *wire.Job) scheduler.Resources {
 	return scheduler.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
 }
@@ -191,7 +166,7 @@
 	}
 	delete(j.attempts, a.task)
 	a.machine.remove(a)
-	j.disrupted = j.disrupted || a.seen && o == reduction.Reset
+	j.disrupted = j.disrupted || a.phase >= attemptSeen && o == reduction.Reset
 	j.state.Accumulate(a.task, o)
 	if !j.ended {
 		j.touch(a.task, l.c.now)
--- a/controller/placement_test.go
+++ b/controller/placement_test.go
@@ -20,7 +20,7 @@
 	boots.typ, boots.zone = "t", "a"
 	for task := range 2 {
 		a := place(l, batch, task, up)
-		a.sent, a.seen = true, true
+		a.phase = attemptSeen
 	}
 	up.images["img"] = true
 	spec := wire.Job{ID: "req-000002", Class: "web", Team: "red", Kind: wire.KindService, Priority: "prod",
--- a/controller/progress.go
+++ b/controller/progress.go
@@ -26,7 +26,7 @@
 	for _, j := range l.order {
 		n := jobCount{done: j.state.Count(reduction.Completed)}
 		for _, a := range j.attempts {
-			if a.running {
+			if a.phase == attemptRunning {
 				n.running++
 			}
 		}
--- a/controller/proofs.go
+++ b/controller/proofs.go
@@ -44,7 +44,7 @@
 			}
 		}
 		for _, a := range m.list {
-			if a.stopping && !a.seen && now.Sub(a.stoppedAt) > raiseForStoppedAfter && a.token >= l.token {
+			if a.stopping && a.phase < attemptSeen && now.Sub(a.stoppedAt) > raiseForStoppedAfter && a.token >= l.token {
 				l.raiseToken("stopped attempt in doubt")
 			}
 		}
--- a/controller/quota_test.go
+++ b/controller/quota_test.go
@@ -58,7 +58,7 @@
 	}
 	for n := range 4 {
 		a := place(l, second, n, l.machine("i-1"))
-		a.sent, a.seen = true, true
+		a.phase = attemptSeen
 	}
 	if e := l.excess()["red"]; e.GPUs != 1 {
 		t.Errorf("excess of %v with 4 GPUs used and 3 guaranteed", e)
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -110,7 +110,7 @@
 		}
 		m := l.machine(p.Machine)
 		a := &attempt{job: j, task: p.Task, number: p.Attempt, machine: m, session: p.Session,
-			token: l.token - 1, recorded: true, sent: true, restored: true, placed: l.elected}
+			token: l.token - 1, phase: attemptSent, restored: true, placed: l.elected}
 		m.zone = p.Zone
 		j.attempts[p.Task] = a
 		m.add(a)
--- a/controller/rentals_test.go
+++ b/controller/rentals_test.go
@@ -127,7 +127,7 @@
 	c, l, running := leading(t)
 	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
 	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 2, MemoryGB: 8, BootS: 30, Zones: []string{"a"}}})
-	running.spec.EstimateS, running.attempts[0] = 10, &attempt{job: running, machine: l.machine("i-1"), running: true, since: c.now}
+	running.spec.EstimateS, running.attempts[0] = 10, &attempt{job: running, machine: l.machine("i-1"), phase: attemptRunning, since: c.now}
 	running.state.Start(0)
 	running.state.Start(1)
 	spec := wire.Job{ID: "req-000002", Class: "train", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1}
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -79,7 +79,7 @@
 // stop goes with the renewal.
 func (l *leader) mustNotRenew(m *machine, rep *wire.Report) bool {
 	for _, a := range m.list {
-		if a.job.cancelled && a.sent && a.token >= l.token && !l.c.now.Before(a.job.cancelledAt.Add(l.c.cancellationWindow())) &&
+		if a.job.cancelled && a.phase >= attemptSent && a.token >= l.token && !l.c.now.Before(a.job.cancelledAt.Add(l.c.cancellationWindow())) &&
 			!slices.ContainsFunc(rep.Tasks, func(t wire.Task) bool { return t.ID == a.taskID() && t.Attempt == a.number }) {
 			return true
 		}
@@ -165,10 +165,11 @@
 
 // attemptSeen adopts an attempt that a report shows on its machine.
 func (l *leader) attemptSeen(a *attempt, state string) {
-	a.seen = true
+	a.advance(attemptSeen)
 	a.job.state.Start(a.task)
-	if state == wire.TaskRunning && !a.running {
-		a.running, a.since, a.job.begun = true, l.c.now, true
+	if state == wire.TaskRunning && a.phase < attemptRunning {
+		a.advance(attemptRunning)
+		a.since, a.job.begun = l.c.now, true
 		a.machine.images[a.job.spec.Image] = true
 		l.c.log(slog.LevelDebug, "task running", "job", a.job.id, "task", a.task, "attempt", a.number,
 			"machine", a.machine.id, "after", l.c.now.Sub(a.placed))
@@ -208,9 +209,9 @@
 // session, or has seen a token above all that the run was sent with.
 func (l *leader) attemptMissing(a *attempt) {
 	m := a.machine
-	if m.session > a.session || m.token > a.token && a.sent {
+	if m.session > a.session || m.token > a.token && a.phase >= attemptSent {
 		l.gone(a, reduction.Reset, "not on its machine")
-	} else if a.seen {
+	} else if a.phase >= attemptSeen {
 		// It was there, has not ended, and is not there in the same stint: the
 		// machine has begun again. Nothing but a raised token can prove it gone.
 		l.raiseToken("attempt has vanished")
--- a/controller/reports_test.go
+++ b/controller/reports_test.go
@@ -48,7 +48,7 @@
 	}
 	// An earlier leader's run may have carried any token below our first.
 	b := place(l, j, 1, m)
-	b.sent, b.token = true, l.token-1
+	b.phase, b.token = attemptSent, l.token-1
 	l.apply(m, report(m, 7))
 	if j.attempts[1] == nil {
 		t.Fatal("gone on the word of a worker that has not seen our token")
--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -77,11 +77,11 @@
 		s.Soon = s.Soon.Add(each, 1)
 		return
 	}
-	if !a.seen {
+	if a.phase < attemptSeen {
 		return // may be anywhere between here and there: not worth a stop
 	}
 	since := time.Time{}
-	if a.running {
+	if a.phase == attemptRunning {
 		since = a.since
 	}
 	s.Tasks = append(s.Tasks, scheduler.Victim{Terms: a.job.terms, Task: a.task, Since: since, PlacedByAge: a.placedByAge})
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -161,7 +161,7 @@
 		}
 		if a := j.attempts[t]; a != nil {
 			rec.Placed = append(rec.Placed, placedRecord{t, a.number, a.machine.id, a.session, a.machine.zone})
-			if !a.recorded {
+			if a.phase < attemptRecorded {
 				fresh = append(fresh, a)
 			}
 		}
@@ -228,7 +228,7 @@
 		j.dirtyAt = l.c.now
 	}
 	for _, a := range w.attempts {
-		a.recorded = true
+		a.advance(attemptRecorded)
 		switch {
 		case j.attempts[a.task] != a:
 		case j.cancelled || a.stopping:
--- a/controller/write_queue_test.go
+++ b/controller/write_queue_test.go
@@ -14,7 +14,7 @@
 func TestRefusedWriteStaysDirty(t *testing.T) {
 	c, l, j := leading(t)
 	m := l.machine("i-1")
-	place(l, j, 0, m).recorded = false
+	place(l, j, 0, m).phase = attemptPlanned
 	j.touch(0, c.now)
 	j.urgent = true // as a placement's write is
 	l.writes = rate.NewLimiter(1, 1)
