A job that has begun needs no read of the ends before it; the failure scan in steps

Cause: a controller that has just started would read, for every running job of a chain that is asked about, the ends of all that it needed, 30 a second. A job that has begun proves them done. TestBegunJobsNeedNoReads: 1 read before, 0 now.

releaseFailed is one look (failureScan) with a function for machines that are up, those that aren't, and the condition for giving one up.

--- a/controller/chain_admission.go
+++ b/controller/chain_admission.go
@@ -59,8 +59,13 @@
 
 // lookupEnds finds out how the jobs ended that an unfinished job needs, directly or through
 // others, where their headers are gone: one of them may have been cancelled, and then so is
-// this job. It is called with a copy of the headers that is up to date.
+// this job. It is called with a copy of the headers that is up to date. Of a job that has
+// begun nothing has to be read: all that it needs was done.
 func (c *Core) lookupEnds(job string, fn func(known)) {
+	if n := c.progress[job]; n.done+n.running > 0 {
+		fn(knownActive)
+		return
+	}
 	ends := c.unknownEnds(job, map[string]bool{}, nil)
 	if len(ends) == 0 {
 		fn(knownActive)
--- a/controller/chains_test.go
+++ b/controller/chains_test.go
@@ -200,3 +200,41 @@
 		}
 	}
 }
+
+// Of a job that has begun nothing is read: a controller that has just started would ask for
+// the ends of all that running jobs have needed.
+func TestBegunJobsNeedNoReads(t *testing.T) {
+	c, _, first, second := chain(t)
+	serving(c)
+	c.lead = nil
+	c.headerChanged(first.id, nil)
+	readsFor := func(req uint64) (reads int) {
+		c.out = nil
+		c.user(UserRequest{Req: req, Op: UserPoll, Job: second.id})
+		for len(c.out) > 0 {
+			asked := c.out
+			c.out = nil
+			for _, o := range asked {
+				call, ok := o.(StateCall)
+				if ok && call.Op == OpGet {
+					reads++
+				}
+				if ok {
+					resume(c.stateCalls, call.ID, readReply(c, call, map[string]finalRecord{first.id: {Tasks: 1}}))
+				}
+			}
+		}
+		return reads
+	}
+	c.progress[second.id] = jobCount{running: 1}
+	if n := readsFor(6); n != 0 {
+		t.Errorf("%d final records are read for a job that runs", n)
+	}
+	delete(c.progress, second.id)
+	if n := readsFor(7); n != 1 {
+		t.Errorf("%d final records are read for a job that has not begun, want 1", n)
+	}
+	if n := readsFor(8); n != 0 {
+		t.Errorf("%d final records are read once the end is known", n)
+	}
+}
--- a/controller/failure_detector.go
+++ b/controller/failure_detector.go
@@ -10,51 +10,97 @@
 // The failure detector: which machines are suspected, and whether the fault is on the machine, in
 // its zone's network or on our side.
 
-// releaseFailed decides between waiting a lease out and releasing the machine.
+// failureScan is one look at all machines.
+type failureScan struct {
+	*leader
+	unheard   map[string]bool      // zones, see unheardZones
+	found     bool                 // most machines of an earlier leader have reported to us
+	elsewhere []*scheduler.Machine // room for what moves; nil: not drawn yet
+}
+
+// releaseFailed decides, of each machine that is suspected, between waiting its lease out and
+// releasing it.
 func (l *leader) releaseFailed() {
-	lease := config.Seconds(l.c.cfg.Facts.Workers.LeaseS)
-	unheard := l.unheardZones()
-	// Just after a cut some machines are still to be heard, and others are back already.
-	reachable := func(zone string) bool {
-		return !unheard[zone] && l.c.now.Sub(l.partitionedAt[zone]) > l.suspectAfter()
-	}
-	var elsewhere []*scheduler.Machine // drawn once: what moves off one machine takes room from the next
-	canMove := func(m *machine) bool {
-		if elsewhere == nil {
-			elsewhere = l.view(false)
-			for _, o := range elsewhere {
-				for _, v := range o.Tasks {
-					if v.Rank > 0 { // gives way to replicas
-						o.Free = o.Free.Add(v.Each, 1)
-					}
-				}
-			}
-		}
-		return l.canMove(m, elsewhere)
-	}
-	found := l.mostMachinesReported()
+	scan := &failureScan{leader: l, unheard: l.unheardZones(), found: l.mostMachinesReported()}
 	for _, m := range l.fleetOrder {
-		silence := l.sinceHeartbeat(m)
 		switch {
 		case m.releasing:
-		case !m.up:
-			if l.bootedTooLong(m) {
-				l.release(m, "never came up")
-			} else if found && l.overdueSinceElection(m) && canMove(m) {
-				l.release(m, "silent since the election")
-			} else if h := l.c.hints[m.id]; h != nil && h.Addr != "" && len(m.attempts) > 0 {
-				l.probe(m.id, h.Addr)
+		case m.up:
+			scan.checkUp(m)
+		default:
+			scan.checkNotUp(m)
+		}
+	}
+}
+
+// checkNotUp looks at a machine that has not reported to this leader.
+func (s *failureScan) checkNotUp(m *machine) {
+	hint := s.c.hints[m.id]
+	switch {
+	case s.bootedTooLong(m):
+		s.release(m, "never came up")
+	case s.found && s.overdueSinceElection(m) && s.canMove(m):
+		s.release(m, "silent since the election")
+	case hint != nil && hint.Addr != "" && len(m.attempts) > 0:
+		s.probe(m.id, hint.Addr)
+	}
+}
+
+// checkUp looks at a machine that has reported.
+func (s *failureScan) checkUp(m *machine) {
+	switch {
+	case faulty(m) && len(m.attempts) == 0:
+		s.release(m, "faulty")
+	case m.notice && len(m.attempts)+len(m.unknownAttempts) == 0:
+		s.release(m, "will be taken")
+	case s.failed(m):
+		s.release(m, "silent")
+	case (s.heartbeatOverdue(m) || !m.unansweredSince.IsZero()) && !m.callInFlight && !s.c.now.Before(m.probeAt):
+		s.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
+	}
+}
+
+// failed tells whether a machine is given up: it has been silent for several leases, or it is
+// suspected, the fault is not on the way to it, and its replicas have room elsewhere.
+func (s *failureScan) failed(m *machine) bool {
+	lease := config.Seconds(s.c.cfg.Facts.Workers.LeaseS)
+	silence := s.sinceHeartbeat(m)
+	if silence > leasesUntilFailed*lease {
+		return true
+	}
+	suspected := silence > s.suspectAfter() && m.unanswered || s.unreachableFor(m) > s.suspectAfter()
+	return suspected && s.reachable(m.zone) && s.reachable("") && s.canMove(m)
+}
+
+// leasesUntilFailed is how many leases a machine may be silent for whatever the network does.
+const leasesUntilFailed = 3
+
+// reachable tells whether nothing is wrong with the way to a zone, or to all machines. Just
+// after a cut some machines are still to be heard, and others are back already.
+func (s *failureScan) reachable(zone string) bool {
+	return !s.unheard[zone] && s.c.now.Sub(s.partitionedAt[zone]) > s.suspectAfter()
+}
+
+// canMove tells whether what a machine runs has room elsewhere. The room is drawn once: what
+// moves off one machine takes it from the next.
+func (s *failureScan) canMove(m *machine) bool {
+	if s.elsewhere == nil {
+		s.elsewhere = s.roomForReplicas()
+	}
+	return s.leader.canMove(m, s.elsewhere)
+}
+
+// roomForReplicas is the view of the machines in which lower work gives way to replicas.
+func (l *leader) roomForReplicas() []*scheduler.Machine {
+	machines := l.view(false)
+	for _, m := range machines {
+		for _, task := range m.Tasks {
+			if task.Rank > 0 {
+				m.Free = m.Free.Add(task.Each, 1)
 			}
-		case faulty(m) && len(m.attempts) == 0:
-			l.release(m, "faulty")
-		case m.notice && len(m.attempts)+len(m.unknownAttempts) == 0:
-			l.release(m, "will be taken")
-		case silence > 3*lease, (silence > l.suspectAfter() && m.unanswered || l.unreachableFor(m) > l.suspectAfter()) && reachable(m.zone) && reachable("") && canMove(m):
-			l.release(m, "silent")
-		case (l.heartbeatOverdue(m) || !m.unansweredSince.IsZero()) && !m.callInFlight && !l.c.now.Before(m.probeAt):
-			l.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
 		}
 	}
+	return machines
 }
 
 // listenGap is how long a leader that listens may go without a look at its machines:
