--- a/controller/authority.go
+++ b/controller/authority.go
@@ -63,7 +63,7 @@
 			return
 		}
 		l.renew()
-		if l.c.now.Sub(l.c.control.read) >= every {
+		if l.c.now.Sub(l.c.control.lastRead) >= every {
 			l.c.syncAlways(func(bool) {}) // see renewalDeadline
 		}
 		l.askPromises()
@@ -129,7 +129,7 @@
 // was told of: when the last read was sent that its copy of the headers holds, or
 // the last round of promises that was as good.
 func (l *leader) headersKnownUntil() time.Time {
-	if read := l.c.control.read; read.After(l.headersPromisedUntil) {
+	if read := l.c.control.lastRead; read.After(l.headersPromisedUntil) {
 		return read
 	}
 	return l.headersPromisedUntil
--- a/controller/chain_admission.go
+++ b/controller/chain_admission.go
@@ -22,7 +22,7 @@
 		cancelled := false
 		var conds []wire.Cond
 		for _, p := range job.Needs {
-			h, f := c.control.headers[p], c.final.jobs[p]
+			h, f := c.control.headers[p], c.finals.jobs[p]
 			switch {
 			case f.Cancelled || c.withdrawn(p):
 				cancelled = true
--- a/controller/chains.go
+++ b/controller/chains.go
@@ -28,7 +28,7 @@
 	for _, p := range h.Job.Needs {
 		if ph := c.control.headers[p]; ph != nil && ph.Cancelled {
 			c.chainsChanged(c.chains.Accumulate(p, reduction.Cancelled))
-		} else if f, over := c.final.jobs[p]; over {
+		} else if f, over := c.finals.jobs[p]; over {
 			c.accumulateEnd(p, f)
 		} else if ph == nil && c.lead != nil && c.lead.recovered {
 			c.lead.fetchEnd(p)
@@ -55,7 +55,7 @@
 
 // jobEnded takes in the final record of a job.
 func (c *Core) jobEnded(id string, f finalRecord) {
-	c.final.add(id, f)
+	c.finals.add(id, f)
 	c.accumulateEnd(id, f)
 }
 
@@ -114,7 +114,7 @@
 		switch {
 		case c.lead != l || k == knownActive:
 		case k == knownFinal:
-			c.accumulateEnd(id, c.final.jobs[id])
+			c.accumulateEnd(id, c.finals.jobs[id])
 		default:
 			c.after(time.Second, func() {
 				if c.lead == l {
@@ -141,7 +141,7 @@
 func (l *leader) becameReady(j *job) {
 	j.ready = j.accepted
 	for _, p := range j.spec.Needs {
-		if at := time.UnixMilli(l.c.final.jobs[p].EndedMS); at.After(j.ready) {
+		if at := time.UnixMilli(l.c.finals.jobs[p].EndedMS); at.After(j.ready) {
 			j.ready = at
 		}
 	}
--- a/controller/control.go
+++ b/controller/control.go
@@ -24,7 +24,7 @@
 
 	syncing     bool
 	unreachable bool      // the last sync failed; it is tried again until one succeeds
-	read        time.Time // when the last read that the copy holds was sent
+	lastRead    time.Time // when the last read that the copy holds was sent
 	waiting     []func(ok bool)
 }
 
@@ -181,8 +181,8 @@
 
 // noteRead notes that the copy has all that was written before a read was sent.
 func (c *Core) noteRead(sent time.Time) {
-	if sent.After(c.control.read) {
-		c.control.read = sent
+	if sent.After(c.control.lastRead) {
+		c.control.lastRead = sent
 	}
 }
 
--- a/controller/core.go
+++ b/controller/core.go
@@ -52,7 +52,7 @@
 	types    map[string]wire.MachineType
 	quotas   map[string]quota // by team
 	measure  scheduler.Measure
-	final    finals
+	finals   finals
 	progress map[string]jobCount
 	chains   *reduction.DynamicGraph // unfinished jobs that need others, and those
 
@@ -104,7 +104,7 @@
 		c.quotas[t.Name] = quotaOf(t)
 	}
 	c.writes.SetLimitAt(now, c.userRate())
-	c.final.init()
+	c.finals.init()
 	c.control.init()
 	c.promises.started = now
 	c.relays.init()
--- a/controller/divided_records.go
+++ b/controller/divided_records.go
@@ -23,7 +23,7 @@
 	for n := range chunks {
 		for t := n * per; t < min((n+1)*per, j.spec.Tasks); t++ {
 			of := j.chunks[t/j.tasksPerRecord]
-			chunks[n].next = max(chunks[n].next, of.next)
+			chunks[n].lastAttempt = max(chunks[n].lastAttempt, of.lastAttempt)
 			chunks[n].dirty = chunks[n].dirty || of.dirty
 		}
 	}
--- a/controller/finals.go
+++ b/controller/finals.go
@@ -68,7 +68,7 @@
 
 // lookup finds out what the state service has of a job now.
 func (c *Core) lookup(job string, fn func(known)) {
-	if _, ok := c.final.jobs[job]; ok {
+	if _, ok := c.finals.jobs[job]; ok {
 		fn(knownFinal)
 		return
 	}
@@ -95,7 +95,7 @@
 // still made: where there are more questions than reads, refusing at random
 // could refuse the same job every time, and it would count as forgotten.
 func (c *Core) lookupFinal(job string, fn func(known)) {
-	f := &c.final
+	f := &c.finals
 	if len(f.asks[job]) == 0 {
 		if len(f.queue) >= maxFinalAsks {
 			fn(knownUnsure)
@@ -112,7 +112,7 @@
 // readFinals sends the reads that are due, as fast as the budget allows. What is
 // asked after a read was sent needs another: it may have been too early.
 func (c *Core) readFinals() {
-	f := &c.final
+	f := &c.finals
 	for len(f.queue) > 0 && c.reads.AllowN(c.now, 1) {
 		job := f.queue[0]
 		f.queue = f.queue[1:]
--- a/controller/fixtures_test.go
+++ b/controller/fixtures_test.go
@@ -33,8 +33,8 @@
 
 // place puts an attempt in force as a round does, and has its record written.
 func place(l *leader, j *job, task int, m *machine) *attempt {
-	j.chunks[0].next++
-	a := &attempt{job: j, task: task, number: j.chunks[0].next, machine: m, session: m.session, phase: attemptRecorded}
+	j.chunks[0].lastAttempt++
+	a := &attempt{job: j, task: task, number: j.chunks[0].lastAttempt, machine: m, session: m.session, phase: attemptRecorded}
 	j.attempts[task] = a
 	m.add(a)
 	j.state.Start(task)
--- a/controller/job.go
+++ b/controller/job.go
@@ -48,9 +48,9 @@
 
 // chunk is a run of tasks that share a record.
 type chunk struct {
-	version uint64
-	next    uint64
-	dirty   bool
+	version     uint64
+	lastAttempt uint64
+	dirty       bool
 }
 
 func jobEach(j *wire.Job) scheduler.Resources {
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -129,18 +129,18 @@
 	if d.Gang {
 		top := uint64(0)
 		for _, ch := range j.chunks {
-			top = max(top, ch.next)
+			top = max(top, ch.lastAttempt)
 		}
 		for _, p := range placed {
-			j.chunks[p.Task/j.tasksPerRecord].next = top + 1
+			j.chunks[p.Task/j.tasksPerRecord].lastAttempt = top + 1
 		}
 	}
 	for _, p := range placed {
 		ch := &j.chunks[p.Task/j.tasksPerRecord]
 		if !d.Gang {
-			ch.next++
+			ch.lastAttempt++
 		}
-		l.plan(j, p, ch.next).placedByAge = d.Aged
+		l.plan(j, p, ch.lastAttempt).placedByAge = d.Aged
 	}
 }
 
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -97,7 +97,7 @@
 			j.state.Accumulate(t, reduction.Reset)
 		}
 	}
-	j.chunks[n].version, j.chunks[n].next = version, rec.Next
+	j.chunks[n].version, j.chunks[n].lastAttempt = version, rec.Next
 	for _, r := range rec.Done {
 		for t := r[0]; t <= r[1] && t < j.spec.Tasks; t++ {
 			j.state.Accumulate(t, reduction.Succeeded)
--- a/controller/user_requests.go
+++ b/controller/user_requests.go
@@ -51,7 +51,7 @@
 
 func (c *Core) jobState(job string) wire.JobState {
 	s := wire.JobState{ID: job, State: wire.StateQueued}
-	if f, ok := c.final.jobs[job]; ok {
+	if f, ok := c.finals.jobs[job]; ok {
 		s.State, s.Done = wire.StateDone, f.Tasks
 		if f.Cancelled {
 			s.State, s.Done = wire.StateCancelled, 0
@@ -74,7 +74,7 @@
 func (c *Core) submit(r UserRequest) {
 	job, id, err := wire.ParseJob(r.Body)
 	r.Job = id
-	if _, over := c.final.jobs[id]; over || c.control.headers[id] != nil {
+	if _, over := c.finals.jobs[id]; over || c.control.headers[id] != nil {
 		c.lookup(id, func(k known) { c.answerState(r, k, http.StatusServiceUnavailable) })
 		return // a repeat takes no share of the writes
 	}
--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -160,7 +160,7 @@
 		t.Errorf("task 150 is %v, %d attempts", again.state.Status(150), len(again.attempts))
 	}
 	for task, a := range again.attempts {
-		if next := again.chunks[task/again.tasksPerRecord].next; a.number > next {
+		if next := again.chunks[task/again.tasksPerRecord].lastAttempt; a.number > next {
 			t.Fatalf("task %d has attempt %d, the next ones count from %d", task, a.number, next)
 		}
 	}
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -149,7 +149,7 @@
 
 // chunkRecord encodes chunk n and lists its attempts that are not recorded yet.
 func (l *leader) chunkRecord(j *job, n int, id uint64) (taskRecord, []*attempt) {
-	rec := taskRecord{Write: id, Next: j.chunks[n].next}
+	rec := taskRecord{Write: id, Next: j.chunks[n].lastAttempt}
 	var fresh []*attempt
 	for t := n * j.tasksPerRecord; t < min((n+1)*j.tasksPerRecord, j.spec.Tasks); t++ {
 		if j.state.Status(t) == reduction.Completed {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -105,7 +105,7 @@
 }
 
 // A leader cut off from the workers alone must not let every lease run out.
-func TestDeafLeaderKeepsLeases(t *testing.T) {
+func TestLeaderCutFromWorkersKeepsLeases(t *testing.T) {
 	w := settled(t, 3)
 	n := leader(w)
 	n.workersCut = true
@@ -249,16 +249,16 @@
 
 // A leader of many machines that loses the way to all of them must not take the first
 // ones that are overdue for dead, nor, when the way is back, those that it hears last.
-func TestDeafLeaderReleasesNobody(t *testing.T) {
+func TestLeaderCutFromWorkersReleasesNobody(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			deafLeader(t, New(9+seed, Grown))
+			checkLeaderCutFromWorkers(t, New(9+seed, Grown))
 		})
 	}
 }
 
-func deafLeader(t *testing.T, w *World) {
+func checkLeaderCutFromWorkers(t *testing.T, w *World) {
 	t.Helper()
 	w.after(time.Second, func() {
 		for i := range 40 {
--- a/reduction/growing_test.go
+++ b/reduction/dynamic_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// A growing graph agrees with the fixed one at every moment: which nodes are ready, and
+// A dynamic graph agrees with the fixed one at every moment: which nodes are ready, and
 // which have failed, whatever the order in which nodes and outcomes become known.
 func TestGrowingAgreesWithFixed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	// A success that comes after the node has failed by closure changes nothing, so
-	// outcomes are replayed on the fixed graph only where the growing one took them.
+	// outcomes are replayed on the fixed graph only where the dynamic one took them.
 	s := NewState(fixed)
 	for v, o := range outcome {
 		if o == Cancelled || g.Status(name(v)) == Completed {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -369,7 +369,7 @@
 // TestPreemptNeverTakesAGuarantee plays rounds of preemption between teams that are
 // guaranteed GPUs, cores or both, and checks after each that no team was brought below
 // what it is guaranteed. The last round is played with an excess that is one task too
-// large, to show that the check bites.
+// large, to show that the check detects it.
 func TestPreemptNeverTakesAGuarantee(t *testing.T) {
 	infinite := math.Inf(1)
 	var broken int
@@ -427,6 +427,6 @@
 	rapid.Check(t, func(t *rapid.T) { round(t, false) })
 	rapid.Check(t, func(t *rapid.T) { round(t, true) })
 	if broken == 0 {
-		t.Error("an excess that is too large breaks nothing: the check does not bite")
+		t.Error("an excess that is too large breaks nothing: the check does not detect it")
 	}
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -105,7 +105,7 @@
 		s.trackConnection(nil, http.StateNew)
 	}
 	if got := ask("/v1/report", report); got != "close" {
-		t.Errorf("connection %q for a worker where it is crowded", got)
+		t.Errorf("connection %q for a worker near the limit of connections", got)
 	}
 	if got := ask("/v2/runs", []byte("x")); got != "" {
 		t.Errorf("connection %q for a user", got)
