--- a/controller/cloud_listing.go
+++ b/controller/cloud_listing.go
@@ -77,7 +77,7 @@
 	known := asked.Add(-config.Seconds(2*l.c.cfg.Facts.Cloud.ListLagS) - time.Second)
 	for _, m := range l.fleetOrder {
 		if m.id > after && (m.id <= last || !page.More) && !there[m.id] && !m.listed.IsZero() && m.listed.Before(known) {
-			l.release(m, "not listed any more")
+			l.release(m, releaseUnlisted)
 		}
 	}
 }
@@ -106,6 +106,6 @@
 		m.typ, m.zone, m.spot, m.addr = it.Type, it.Zone, it.Spot, it.Addr
 	}
 	if it.State == wire.MachineFailed && (!m.up || l.unresponsive(m)) {
-		l.release(m, "failed")
+		l.release(m, releaseFailedMachine)
 	}
 }
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -71,7 +71,7 @@
 // record is being written, the end of the write sees to it.
 func (l *leader) stop(a *attempt, grace float64) {
 	if w := a.job.write; a.phase < attemptSent && (w == nil || !slices.Contains(w.attempts, a)) {
-		l.gone(a, reduction.Reset, "never sent")
+		l.gone(a, reduction.Reset, proofNeverSent)
 		return
 	}
 	if a.stopping && a.grace <= grace {
@@ -143,7 +143,7 @@
 			// Older than what the machine had said before it was asked: it has begun to
 			// count again. Late copies from before would pass for newer than all that
 			// it says now, so nothing it says can be relied on; its release can.
-			l.release(m, "has begun again")
+			l.release(m, releaseRestarted)
 			return
 		}
 		l.apply(m, &r.Report)
--- a/controller/failure_detector.go
+++ b/controller/failure_detector.go
@@ -38,9 +38,9 @@
 	hint := s.c.hints[m.id]
 	switch {
 	case s.bootedTooLong(m):
-		s.release(m, "never came up")
+		s.release(m, releaseNeverUp)
 	case s.found && s.overdueSinceElection(m) && s.canMove(m):
-		s.release(m, "silent since the election")
+		s.release(m, releaseSilentSinceElection)
 	case hint != nil && hint.Addr != "" && len(m.attempts) > 0:
 		s.probe(m.id, hint.Addr)
 	}
@@ -50,11 +50,11 @@
 func (s *failureScan) checkUp(m *machine) {
 	switch {
 	case faulty(m) && len(m.attempts) == 0:
-		s.release(m, "faulty")
+		s.release(m, releaseFaulty)
 	case m.notice && len(m.attempts)+len(m.unknownAttempts) == 0:
-		s.release(m, "will be taken")
+		s.release(m, releaseNoticed)
 	case s.failed(m):
-		s.release(m, "silent")
+		s.release(m, releaseSilent)
 	case (s.heartbeatOverdue(m) || !m.unansweredSince.IsZero()) && !m.callInFlight && !s.c.now.Before(m.probeAt):
 		s.command(m, nil) // it may be only its reports, or only our answers, that don't arrive
 	}
--- a/controller/job.go
+++ b/controller/job.go
@@ -159,7 +159,7 @@
 }
 
 // gone takes an attempt out of force; the caller has proof.
-func (l *leader) gone(a *attempt, o reduction.Outcome, why string) {
+func (l *leader) gone(a *attempt, o reduction.Outcome, why proof) {
 	j := a.job
 	if j.attempts[a.task] != a {
 		return
--- a/controller/machine_returns.go
+++ b/controller/machine_returns.go
@@ -19,7 +19,7 @@
 	spare := l.spare()
 	slices.SortStableFunc(spare, func(a, b *machine) int { return cmp.Compare(l.price(b), l.price(a)) })
 	for _, m := range spare[:min(len(spare), max(returnMost, len(l.machines)/returnShare))] {
-		l.release(m, "idle")
+		l.release(m, releaseIdle)
 	}
 }
 
@@ -51,7 +51,24 @@
 	})
 }
 
-func (l *leader) release(m *machine, why string) {
+// A releaseReason is why a machine goes back to the cloud, as the log tells it.
+type releaseReason string
+
+// The reasons for a release; docs/operations.md explains them.
+const (
+	releaseIdle                releaseReason = "idle"
+	releaseSilent              releaseReason = "silent"
+	releaseSilentSinceElection releaseReason = "silent since the election"
+	releaseUnlisted            releaseReason = "not listed any more"
+	releaseFailedMachine       releaseReason = "failed"
+	releaseFaulty              releaseReason = "faulty"
+	releaseNeverUp             releaseReason = "never came up"
+	releaseNoticed             releaseReason = "will be taken"
+	releaseRestarted           releaseReason = "has begun again"
+)
+
+// release asks the cloud to take a machine back; what it runs is gone once that is confirmed.
+func (l *leader) release(m *machine, why releaseReason) {
 	if m.releasing {
 		return
 	}
@@ -67,7 +84,7 @@
 	}
 	l.released[id] = l.c.now
 	for _, a := range m.list {
-		l.gone(a, reduction.Reset, "machine released")
+		l.gone(a, reduction.Reset, proofMachineReleased)
 	}
 	delete(l.machines, id)
 	l.fleetOrder = slices.DeleteFunc(l.fleetOrder, func(o *machine) bool { return o == m })
--- a/controller/proofs.go
+++ b/controller/proofs.go
@@ -10,7 +10,21 @@
 
 // Proofs that time brings: an attempt on a machine whose lease has run out is gone.
 
-// proveEvery is how often time is asked for proofs.
+// A proof is why an attempt is known to be gone, as the log tells it.
+type proof string
+
+// The proofs beside what a worker reports itself.
+const (
+	proofNeverSent       proof = "never sent"         // its run, and it will not be
+	proofMachineReleased proof = "machine released"   // the cloud has confirmed it
+	proofLeaseExpired    proof = "lease ran out"      // since our last answer, with drift
+	proofAbsent          proof = "not on its machine" // in a report newer than any copy of its run
+)
+
+// proofReported is what a worker says of an attempt that has ended.
+func proofReported(why string) proof { return proof(why) }
+
+// proofInterval is how often time is asked for proofs.
 const proofInterval = 100 * time.Millisecond
 
 // leaseEnd is when a machine's lease has run out for sure, by our clock.
@@ -35,7 +49,7 @@
 				l.c.log(slog.LevelInfo, "machine lost", "machine", m.id, "tasks", len(m.attempts))
 			}
 			for _, a := range m.list {
-				l.gone(a, reduction.Reset, "lease ran out")
+				l.gone(a, reduction.Reset, proofLeaseExpired)
 			}
 		}
 		for k, since := range m.ended {
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -185,7 +185,7 @@
 		m.images[j.spec.Image] = true
 		clear(m.faults)
 		delete(j.fails, a.task)
-		l.gone(a, reduction.Succeeded, why)
+		l.gone(a, reduction.Succeeded, proofReported(why))
 		return
 	case why == wire.WhyError:
 		j.avoid[m.id] = true
@@ -201,7 +201,7 @@
 		j.retryAt[a.task] = l.c.now.Add(500 * time.Millisecond << n)
 		l.c.after(500*time.Millisecond<<n, l.wantPlacement)
 	}
-	l.gone(a, reduction.Reset, why)
+	l.gone(a, reduction.Reset, proofReported(why))
 }
 
 // attemptMissing takes in that a report does not list an attempt. That proves it gone
@@ -210,7 +210,7 @@
 func (l *leader) attemptMissing(a *attempt) {
 	m := a.machine
 	if m.session > a.session || m.token > a.token && a.phase >= attemptSent {
-		l.gone(a, reduction.Reset, "not on its machine")
+		l.gone(a, reduction.Reset, proofAbsent)
 	} else if a.phase >= attemptSeen {
 		// It was there, has not ended, and is not there in the same stint: the
 		// machine has begun again. Nothing but a raised token can prove it gone.
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -232,7 +232,7 @@
 		switch {
 		case j.attempts[a.task] != a:
 		case j.cancelled || a.stopping:
-			l.gone(a, reduction.Reset, "never sent")
+			l.gone(a, reduction.Reset, proofNeverSent)
 		default:
 			a.machine.outbox = append(a.machine.outbox, a)
 			l.hasToSend(a.machine)
