--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -12,7 +12,7 @@
 
 // Consolidation: few replicas on a dear machine move to others, and it is returned.
 
-// gatherEvery is how often a machine is looked for whose replicas have room elsewhere.
+// consolidateEvery is how often a machine is looked for whose replicas have room elsewhere.
 const consolidateEvery = 2 * time.Second
 
 // settledFor is how long a replica must have run before it may be moved: a start
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -95,7 +95,7 @@
 	return l.c.quotas[j.spec.Team].guarantee.Fits(sum) > 0
 }
 
-// sharesEvery is how often the guarantees are dealt out anew where no job has come.
+// guaranteesEvery is how often the guarantees are dealt out anew where no job has come.
 const guaranteesEvery = 250 * time.Millisecond
 
 // assignGuarantees marks the jobs beyond their team's guarantee. Which of its jobs a team's
