Reads for users keep to the state service's coming rate of requests

Cause: state.next may name rps, and nothing kept to it: reads went on at 60% of the present rate, and refusals of reads teach nobody. TestComingRates: 90 reads a second where the state service will take 30 requests, before; 18 now. Where next names no rps nothing changes.

--- a/controller/core.go
+++ b/controller/core.go
@@ -88,7 +88,7 @@
 		stateCalls:  map[uint64]func(StateReply){},
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
-		reads:       rate.NewLimiter(rate.Limit(st.RPS*0.6*share), max(2, int(st.RPS*0.3*share))),
+		reads:       readLimiter(st, share),
 		writes:      rate.NewLimiter(0, writeBurst(st)),
 		types:       map[string]wire.MachineType{},
 		quotas:      map[string]quota{},
--- a/controller/rate_limits.go
+++ b/controller/rate_limits.go
@@ -50,6 +50,21 @@
 	return c.cfg.Facts.State.WriteRPS
 }
 
+// Shares of the requests that the state service takes in a second, for reads on behalf of
+// users. They leave room for watches, renewals and writes.
+const (
+	readShare      = 0.6
+	readBurstShare = 0.3 // that may be made at once
+)
+
+// readLimiter bounds one controller's reads for users. It keeps to the tighter of the limits
+// from the start: nothing tells when the coming one holds, and a refused read is a question
+// unanswered.
+func readLimiter(state config.State, share float64) *rate.Limiter {
+	requests := state.Tightest().RPS * share
+	return rate.NewLimiter(rate.Limit(requests*readShare), max(2, int(requests*readBurstShare)))
+}
+
 // writeBurst is how many changes may be made at once.
 func writeBurst(state config.State) int {
 	return max(2, int(state.Tightest().WriteRPS*burstShare))
