--- a/controller/election.go
+++ b/controller/election.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"pumicefront/wire"
-
-	"golang.org/x/time/rate"
 )
 
 // Leader election. The leader key is attached to a lease of the state service, and a claim takes
@@ -82,15 +80,13 @@
 }
 
 func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
-	burst := writeBurst(c.cfg.Facts.State)
 	l := &leader{
 		c: c, token: token, electedToken: token, version: version, lease: lease, elected: c.now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
-		writes:           rate.NewLimiter(0, burst),
-		backgroundWrites: rate.NewLimiter(0, burst),
-		probedAt:         map[string]time.Time{}, progressTold: map[string]jobCount{}, demandHints: map[string]demandHint{}, tokenRaisedAt: c.now, partitionedAt: map[string]time.Time{},
+		budget:   newWriteBudget(writeBurst(c.cfg.Facts.State)),
+		probedAt: map[string]time.Time{}, progressTold: map[string]jobCount{}, demandHints: map[string]demandHint{}, tokenRaisedAt: c.now, partitionedAt: map[string]time.Time{},
 	}
-	l.setWriteRates()
+	l.budget.setRate(c.now, c.writeRate())
 	l.fleet.init()
 	c.lead = l
 	l.extend(sent)
--- a/controller/failure_detector.go
+++ b/controller/failure_detector.go
@@ -10,6 +10,9 @@
 // The failure detector: which machines are suspected, and whether the fault is on the machine, in
 // its zone's network or on our side.
 
+// allZones stands for all machines where something is kept by zone.
+const allZones = ""
+
 // failureScan is one look at all machines.
 type failureScan struct {
 	*leader
@@ -69,7 +72,7 @@
 		return true
 	}
 	suspected := silence > s.suspectAfter() && m.unanswered || s.unreachableFor(m) > s.suspectAfter()
-	return suspected && s.reachable(m.zone) && s.reachable("") && s.canMove(m)
+	return suspected && s.reachable(m.zone) && s.reachable(allZones) && s.canMove(m)
 }
 
 // leasesUntilFailed is how many leases a machine may be silent for whatever the network does.
@@ -152,7 +155,7 @@
 	return l.since(m.unreachableSince)
 }
 
-// partitionedZones lists the zones of which most machines are silent, and "" where a
+// partitionedZones lists the zones of which most machines are silent, and allZones where a
 // quarter of all is: that speaks for a fault on the way to us, not on the
 // machines. They are left their leases, and come back with what they ran.
 func (l *leader) partitionedZones() map[string]bool {
@@ -162,29 +165,29 @@
 			continue
 		}
 		all[m.zone]++
-		all[""]++
+		all[allZones]++
 		if l.heartbeatOverdue(m) || !m.unansweredSince.IsZero() {
 			silent[m.zone]++
-			silent[""]++
+			silent[allZones]++
 		}
 	}
-	cut := map[string]bool{"": silent[""] > max(1, all[""]/4)}
+	cut := map[string]bool{allZones: silent[allZones] > max(1, all[allZones]/4)}
 	for zone, n := range silent {
-		if zone != "" && len(all) > 2 {
+		if zone != allZones && len(all) > 2 {
 			cut[zone] = n > 1 && 2*n > all[zone]
 		}
 	}
 	for zone, is := range cut {
 		// A quarter of all may well have died or hang: they are waited for only where
 		// their zone is cut, or most do not answer.
-		if is && (zone != "" || 2*silent[""] > all[""]) {
+		if is && (zone != allZones || 2*silent[allZones] > all[allZones]) {
 			l.partitionedAt[zone] = l.c.now
 		}
 	}
 	return cut
 }
 
-// unheardZones lists the zones, and "" for all machines, of which far too few have been
+// unheardZones lists the zones, and allZones for all machines, of which far too few have been
 // heard in the last moments. Where all fall silent at once, those that were due
 // first are suspected before a quarter of all is late: a leader that has just lost
 // its way to the workers would release them.
@@ -199,7 +202,7 @@
 		if !m.up {
 			continue
 		}
-		for _, zone := range [...]string{m.zone, ""} {
+		for _, zone := range [...]string{m.zone, allZones} {
 			all[zone]++
 			if l.c.now.Sub(m.reported) <= window {
 				heard[zone]++
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"pumicefront/scheduler"
 )
 
@@ -22,28 +20,26 @@
 	headersPromisedUntil time.Time // see headersKnownUntil
 	recovered            bool
 
-	jobs             map[string]*job
-	order            []*job // by acceptance
-	machines         map[string]*machine
-	fleetOrder       []*machine // the same by name
-	toSend           []*machine // that commands may wait for
-	proofsAt         time.Time
-	consolidatedAt   time.Time           // see consolidate
-	listening        time.Time           // without a pause since, see noteListening
-	listened         time.Time           // when the machines were looked at last
-	scratch          []scheduler.Machine // reused by every view
-	guaranteesAt     time.Time           // see assignGuarantees
-	flushAt          time.Time           // no write before: the budget is used up
-	released         map[string]time.Time
-	obsoleteKeys     []string // task records whose job is over
-	writes           *rate.Limiter
-	backgroundWrites *rate.Limiter // besides, for writes that nobody waits for
-	placeAt          time.Time     // when the next round of placement is due; zero: none
-	tokenRaisedAt    time.Time
-	raisingToken     bool
-	probedAt         map[string]time.Time // machines asked for a report, and when
-	partitioned      map[string]bool      // see partitionedZones
-	partitionedAt    map[string]time.Time // when each was seen last
+	jobs           map[string]*job
+	order          []*job // by acceptance
+	machines       map[string]*machine
+	fleetOrder     []*machine // the same by name
+	toSend         []*machine // that commands may wait for
+	proofsAt       time.Time
+	consolidatedAt time.Time           // see consolidate
+	listening      time.Time           // without a pause since, see noteListening
+	listened       time.Time           // when the machines were looked at last
+	scratch        []scheduler.Machine // reused by every view
+	guaranteesAt   time.Time           // see assignGuarantees
+	released       map[string]time.Time
+	obsoleteKeys   []string // task records whose job is over
+	budget         writeBudget
+	placeAt        time.Time // when the next round of placement is due; zero: none
+	tokenRaisedAt  time.Time
+	raisingToken   bool
+	probedAt       map[string]time.Time // machines asked for a report, and when
+	partitioned    map[string]bool      // see partitionedZones
+	partitionedAt  map[string]time.Time // when each was seen last
 
 	arrivals     []arrival
 	demandHints  map[string]demandHint
--- a/controller/rate_limits.go
+++ b/controller/rate_limits.go
@@ -37,7 +37,7 @@
 	c.ratesLowered = true
 	c.writes.SetLimitAt(c.now, c.userRate())
 	if c.lead != nil {
-		c.lead.setWriteRates()
+		c.lead.budget.setRate(c.now, c.writeRate())
 	}
 	c.log(slog.LevelInfo, "the state service has its coming limits", "changes", c.writeRate())
 }
@@ -65,30 +65,7 @@
 	return rate.NewLimiter(rate.Limit(requests*readShare), max(2, int(requests*readBurstShare)))
 }
 
-// writeBurst is how many changes may be made at once.
-func writeBurst(state config.State) int {
-	return max(2, int(state.Tightest().WriteRPS*burstShare))
-}
-
 // userRate is what of that each controller spends on users.
 func (c *Core) userRate() rate.Limit {
 	return rate.Limit(c.writeRate() * userShare / float64(len(c.cfg.Others)+1))
 }
-
-// Shares of the changes that the state service takes in a second. Users and the
-// leader seldom need many at the same time, and what one leaves the other can use:
-// so together they may ask for more than there is, and try again when refused.
-// What nobody waits for leaves room for both.
-const (
-	userShare       = 0.8
-	leaderShare     = 0.85
-	backgroundShare = 0.4
-	burstShare      = 0.4 // of a second's changes, that may be made at once
-)
-
-// setWriteRates spends shares of the changes that the state service takes in a second.
-func (l *leader) setWriteRates() {
-	changes := rate.Limit(l.c.writeRate())
-	l.writes.SetLimitAt(l.c.now, changes*leaderShare)
-	l.backgroundWrites.SetLimitAt(l.c.now, changes*backgroundShare)
-}
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -8,8 +8,6 @@
 
 	"pumicefront/reduction"
 	"pumicefront/wire"
-
-	"golang.org/x/time/rate"
 )
 
 // The leader's write queue. What is dirty is written oldest first, one conditional transaction
@@ -30,18 +28,40 @@
 // that come one by one share a write, and what tasks wait for goes first.
 const countsWait = 2 * time.Second
 
+// budgetPause is how long writes wait for the budget to recover.
+const budgetPause = 20 * time.Millisecond
+
 // flush writes what is dirty, oldest first: one conditional write per job and
 // round, under the budget.
 func (l *leader) flush() {
 	if !l.c.now.Before(l.authority) {
 		return // under promises alone nothing can be written
 	}
-	if l.c.now.Before(l.flushAt) {
+	if l.budget.paused(l.c.now) {
 		return
 	}
+	deleted := false
+	for _, j := range l.dueWrites() {
+		if !j.urgent && !deleted { // counts never end: what comes after them would never be deleted
+			l.deleteObsolete()
+			deleted = true
+		}
+		if !l.writeJob(j) {
+			l.pauseWrites(budgetPause)
+			return
+		}
+	}
+	if !deleted {
+		l.deleteObsolete()
+	}
+}
+
+// dueWrites lists the jobs whose write is due, urgent ones first.
+func (l *leader) dueWrites() []*job {
 	var due []*job
 	for _, j := range l.order {
-		if j.dirty && j.write == nil && !l.c.now.Before(j.holdUntil) && (j.urgent || l.c.now.Sub(j.dirtyAt) >= countsWait) {
+		ripe := j.urgent || l.c.now.Sub(j.dirtyAt) >= countsWait
+		if j.dirty && ripe && j.write == nil && !l.c.now.Before(j.holdUntil) {
 			due = append(due, j)
 		}
 	}
@@ -54,52 +74,34 @@
 		}
 		return a.dirtyAt.Compare(b.dirtyAt)
 	})
-	deleted := false
-	for _, j := range due {
-		if !j.urgent && !deleted { // counts never end: what comes after them would never be deleted
-			l.deleteObsolete()
-			deleted = true
-		}
-		if !l.budgetAllows(1, j.urgent) { // before anything is encoded in vain
-			l.pauseWrites(20 * time.Millisecond)
-			return
-		}
-		w := l.compose(j)
-		if w == nil {
-			continue
-		}
-		n := min(len(w.txn.Then), l.writes.Burst())
-		if !l.budgetAllows(n, j.urgent) {
-			j.undo(w) // what compose took must stay dirty, or it is never written
-			l.pauseWrites(20 * time.Millisecond)
-			return
-		}
-		l.spendBudget(n, j.urgent)
-		j.urgent = false
-		j.write = w
-		l.send(j)
-	}
-	if !deleted {
-		l.deleteObsolete()
-	}
+	return due
 }
 
-// budgetAllows tells whether the budget has n changes left.
-func (l *leader) budgetAllows(n int, pressing bool) bool {
-	has := func(b *rate.Limiter) bool { return b.TokensAt(l.c.now) >= float64(n) }
-	return has(l.writes) && (pressing || has(l.backgroundWrites))
-}
-
-func (l *leader) spendBudget(n int, pressing bool) {
-	l.writes.AllowN(l.c.now, n)
-	if !pressing {
-		l.backgroundWrites.AllowN(l.c.now, n)
+// writeJob sends the write that is due for a job, and tells whether the budget had room
+// for it.
+func (l *leader) writeJob(j *job) bool {
+	if !l.budget.allows(l.c.now, 1, j.urgent) { // before anything is encoded in vain
+		return false
+	}
+	w := l.compose(j)
+	if w == nil {
+		return true
+	}
+	changes := min(len(w.txn.Then), l.budget.burst())
+	if !l.budget.allows(l.c.now, changes, j.urgent) {
+		j.undo(w) // what compose took must stay dirty, or it is never written
+		return false
 	}
+	l.budget.spend(l.c.now, changes, j.urgent)
+	j.urgent = false
+	j.write = w
+	l.send(j)
+	return true
 }
 
 // pauseWrites holds all writes back for a moment.
 func (l *leader) pauseWrites(pause time.Duration) {
-	l.flushAt = l.c.now.Add(pause)
+	l.budget.pausedUntil = l.c.now.Add(pause)
 	l.c.after(pause, func() {})
 }
 
@@ -315,12 +317,11 @@
 func (l *leader) deleteObsolete() {
 	// As many as there is budget for: more than a burst would never be allowed, and
 	// none of them ever removed.
-	left := min(l.writes.TokensAt(l.c.now), l.backgroundWrites.TokensAt(l.c.now))
-	n := min(len(l.obsoleteKeys), l.c.cfg.Facts.State.Tightest().TxnOps, int(left))
+	n := min(len(l.obsoleteKeys), l.c.cfg.Facts.State.Tightest().TxnOps, l.budget.left(l.c.now))
 	if n <= 0 {
 		return
 	}
-	l.spendBudget(n, false)
+	l.budget.spend(l.c.now, n, false)
 	batch := l.obsoleteKeys[:n]
 	l.obsoleteKeys = l.obsoleteKeys[n:]
 	txn := wire.Txn{If: []wire.Cond{l.leadershipCondition()}}
--- a/controller/write_queue_test.go
+++ b/controller/write_queue_test.go
@@ -17,8 +17,8 @@
 	place(l, j, 0, m).phase = attemptPlanned
 	j.touch(0, c.now)
 	j.urgent = true // as a placement's write is
-	l.writes = rate.NewLimiter(1, 1)
-	l.writes.AllowN(c.now, 1)
+	l.budget.all = rate.NewLimiter(1, 1)
+	l.budget.spend(c.now, 1, true)
 	l.flush()
 	if j.write != nil || !j.dirty || !j.chunks[0].dirty {
 		t.Fatal("a refused write is lost")
