Stages of a chain take ordinary machines first

Spot machines came first for them as for any work that may use them. Ruled out: the order of work (stages start 0 to 6 s after they are ready) and the last jobs themselves (at most 28 s).

--- a/controller/chains_test.go
+++ b/controller/chains_test.go
@@ -19,7 +19,8 @@
 	if first.terms.Rank != second.terms.Rank || first.due.within(1) != 80 || !l.blocked(second) {
 		t.Fatalf("rank %d, due in %v, held %v", first.terms.Rank, first.due, l.blocked(second))
 	}
-	if ds := l.demands(); len(ds) != 2 || ds[1].Job != "req-000010" || ds[1].Rank != 1 {
+	first.spec.Spot = true
+	if ds := l.demands(); len(ds) != 2 || ds[1].Job != "req-000010" || ds[1].Rank != 1 || !ds[1].KeepOffSpot || ds[0].KeepOffSpot {
 		t.Fatalf("demands %+v", ds)
 	}
 	c.now = c.now.Add(30 * time.Second)
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -38,6 +38,7 @@
 		d.WaitForBooting = d.Service && !j.begun && l.c.now.Sub(j.ready).Seconds() > l.startAim(&j.spec)
 		d.WithinGuarantee, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.ready).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
+		d.KeepOffSpot = d.Spot && l.delaysChain(j)
 		d.Begun, d.Aged = j.begun, l.waited(j)
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
@@ -47,6 +48,12 @@
 	return ds
 }
 
+// delaysChain tells whether a lost task of a job delays others with a deadline, or uses up
+// what earlier ones have left of it.
+func (l *leader) delaysChain(j *job) bool {
+	return j.due.last != nil && (len(j.spec.Needs) > 0 || len(l.c.chains.Successors(j.id)) > 0)
+}
+
 // Waiting wins over every other order after these ages. The largest jobs must
 // begin within four minutes, and smaller ones never stop coming.
 const (
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -15,6 +15,7 @@
 	Spot             bool
 	Image            string
 	CachedOnly       bool // only where the image is
+	KeepOffSpot      bool // ordinary machines first, wherever its image is: a lost task delays more than its job
 	Rank             int
 	Service          bool
 	Gang             bool           // all tasks at once or none
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -75,14 +75,14 @@
 }
 
 // candidate is a machine that a demand may take, with what decides how well it
-// would do.
+// would do; unwanted is spot or not, whichever the demand had better leave to others.
 type candidate struct {
 	*Machine
-	uncached, ordinary, displaced int
+	uncached, unwanted, displaced int
 }
 
 func (d *Demand) candidate(m *Machine) candidate {
-	return candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && !m.Spot), d.displaced(m)}
+	return candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && m.Spot == d.KeepOffSpot), d.displaced(m)}
 }
 
 // prefer orders machines for one task. Alike otherwise, the one comes first where
@@ -90,10 +90,13 @@
 // be returned, or for a demand that spreads images the emptiest.
 func (d *Demand) prefer(a, b candidate) int {
 	c := cmp.Compare(a.Penalty, b.Penalty)
+	if d.KeepOffSpot {
+		c = cmp.Or(c, cmp.Compare(a.unwanted, b.unwanted))
+	}
 	if d.WaitForBooting {
 		c = cmp.Or(c, cmp.Compare(a.displaced, b.displaced))
 	}
-	c = cmp.Or(c, cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.ordinary, b.ordinary),
+	c = cmp.Or(c, cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.unwanted, b.unwanted),
 		cmp.Compare(a.displaced, b.displaced))
 	fuller := cmp.Compare(d.Measure.Of(a.Free), d.Measure.Of(b.Free))
 	if d.SpreadImages {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -109,6 +109,28 @@
 	}
 }
 
+// A job that others wait for takes an ordinary machine, even where a spot machine has its
+// image; others take the spot machine and leave the ordinary one.
+func TestPlaceKeepsChainsOffSpotMachines(t *testing.T) {
+	for _, keepOff := range []bool{false, true} {
+		machines := []*Machine{
+			{ID: "i-1", Type: "small", Spot: true, Cap: Resources{CPUs: 4}, Free: Resources{CPUs: 4}, Images: map[string]bool{"img": true}},
+			{ID: "i-2", Type: "small", Cap: Resources{CPUs: 4}, Free: Resources{CPUs: 4}},
+		}
+		d := &Demand{Job: "j", Tasks: []int{0}, Total: 1, RoomInTeam: 1, Each: Resources{CPUs: 1}, Image: "img", Spot: true,
+			KeepOffSpot: keepOff, InZone: map[string]int{}}
+		placed := Place(machines, d)
+		if len(placed) != 1 || placed[0].Machine.Spot == keepOff {
+			t.Errorf("keep off spot %v: placed %+v", keepOff, placed)
+		}
+		d = &Demand{Job: "k", Tasks: []int{0, 1, 2, 3, 4, 5}, Total: 6, RoomInTeam: 6, Each: Resources{CPUs: 1}, Image: "img", Spot: true,
+			KeepOffSpot: keepOff, InZone: map[string]int{}}
+		if placed := Place(machines, d); len(placed) != 6 {
+			t.Errorf("keep off spot %v: %d of 6 tasks placed", keepOff, len(placed))
+		}
+	}
+}
+
 func TestOrder(t *testing.T) {
 	names := []string{"service", "within", "small", "large", "late", "borrowed"}
 	ds := []*Demand{
