Read once more: one span for both kinds of faults, one stub for reads, comments that went stale

drawnFault and pairedFault each had undo and its fields, refuseOne wrote World.refuse again, and a node was isolated in three places; the loop that answers a core's reads stood in two tests. faultSpan and stateStub serve both. TestBegunJobsNeedNoReads asks for an answer too; TestDynamicAgreesWithFixed was TestGrowingAgreesWithFixed. In the program only comments and one import's place change.

--- a/controller/chains.go
+++ b/controller/chains.go
@@ -11,9 +11,9 @@
 // Jobs that need others are the nodes of one dynamic graph, which every controller keeps
 // for the headers that it holds. A cancellation is a failure that closes downstream:
 // since a job starts nothing before all that it needs are done, whatever fails by
-// closure has never run, and every controller can tell its users so from the headers
-// alone. The final record of a cancelled job is written only when no unfinished job
-// needs it any more, so the closure never loses what it rests on.
+// closure has never run, and every controller can tell its users so from the headers and,
+// where those are gone, the final records (see lookupEnds). The leader writes the final record
+// of a cancelled job only when no unfinished job that it knows of needs it any more.
 
 // addToChains takes a header into the graph and tells the leader what changes by it.
 func (c *Core) addToChains(id string, h *headerRecord) {
--- a/controller/chains_test.go
+++ b/controller/chains_test.go
@@ -195,7 +195,7 @@
 		c.headerChanged(first.id, nil)
 		c.out = nil
 		c.user(request)
-		answer, txn := answerReads(c, cancelled)
+		answer, txn := (&stateStub{finals: cancelled}).serve(c)
 		if answer == nil || answer.Status != http.StatusOK || answer.Body.(wire.JobState).State != wire.StateCancelled {
 			t.Errorf("%s: answer %+v, write %+v", name, answer, txn)
 		}
@@ -209,23 +209,14 @@
 	serving(c)
 	c.lead = nil
 	c.headerChanged(first.id, nil)
-	readsFor := func(req uint64) (reads int) {
+	readsFor := func(req uint64) int {
+		state := stateStub{finals: map[string]finalRecord{first.id: {Tasks: 1}}}
 		c.out = nil
 		c.user(UserRequest{Req: req, Op: UserPoll, Job: second.id})
-		for len(c.out) > 0 {
-			asked := c.out
-			c.out = nil
-			for _, o := range asked {
-				call, ok := o.(StateCall)
-				if ok && call.Op == OpGet {
-					reads++
-				}
-				if ok {
-					resume(c.stateCalls, call.ID, readReply(c, call, map[string]finalRecord{first.id: {Tasks: 1}}))
-				}
-			}
+		if answer, _ := state.serve(c); answer == nil || answer.Status != http.StatusOK {
+			t.Errorf("question %d: answer %+v", req, answer)
 		}
-		return reads
+		return state.reads
 	}
 	c.progress[second.id] = jobCount{running: 1}
 	if n := readsFor(6); n != 0 {
--- a/controller/fixtures_test.go
+++ b/controller/fixtures_test.go
@@ -70,9 +70,15 @@
 	c.control.loaded = true
 }
 
-// answerReads carries out what the core asks of the state service, which holds the given
-// final records and nothing new beside them, until it answers a user or writes.
-func answerReads(c *Core, finals map[string]finalRecord) (answer *Answer, txn *StateCall) {
+// stateStub stands in for a state service that holds some final records and nothing new
+// beside them.
+type stateStub struct {
+	finals map[string]finalRecord
+	reads  int // of final records
+}
+
+// serve carries out what the core asks, until it answers a user or writes.
+func (s *stateStub) serve(c *Core) (answer *Answer, txn *StateCall) {
 	for len(c.out) > 0 {
 		asked := c.out
 		c.out = nil
@@ -84,15 +90,18 @@
 				if o.Op == OpTxn {
 					return nil, &o
 				}
-				resume(c.stateCalls, o.ID, readReply(c, o, finals))
+				resume(c.stateCalls, o.ID, s.reply(c, o))
 			}
 		}
 	}
 	return nil, nil
 }
 
-func readReply(c *Core, call StateCall, finals map[string]finalRecord) StateReply {
-	f, over := finals[strings.TrimPrefix(call.Key, finalPrefix)]
+func (s *stateStub) reply(c *Core, call StateCall) StateReply {
+	if call.Op == OpGet {
+		s.reads++
+	}
+	f, over := s.finals[strings.TrimPrefix(call.Key, finalPrefix)]
 	switch {
 	case call.Op == OpWatch:
 		return StateReply{Status: http.StatusOK, Watch: wire.Watch{Revision: c.control.revision}}
@@ -107,7 +116,7 @@
 	spec := wire.Job{ID: "req-000099", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1, Image: "i", Needs: needs}
 	c.out = nil
 	c.submit(UserRequest{Req: 5, Op: UserSubmit, Body: wire.Marshal(spec)})
-	return answerReads(c, finals)
+	return (&stateStub{finals: finals}).serve(c)
 }
 
 func body(id string) []byte { return wire.Marshal(wire.Job{ID: id}) }
--- a/controller/rate_limits.go
+++ b/controller/rate_limits.go
@@ -4,9 +4,9 @@
 	"log/slog"
 	"net/http"
 
-	"pumicefront/config"
-
 	"golang.org/x/time/rate"
+
+	"pumicefront/config"
 )
 
 // The rate of changes that the state service takes, now and from an unannounced moment on.
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -5,17 +5,33 @@
 	"time"
 )
 
-// drawnFault is one fault with what is drawn for it. Everything is whole again when the
-// faults end.
-type drawnFault struct {
+// faultSpan is how long a fault lasts. Everything is whole again when the faults end.
+type faultSpan struct {
 	w        *World
 	end      time.Duration // of all faults
-	node     *node
 	duration time.Duration
-	down     time.Duration // that a process is away
-	soon     time.Duration // that a process is away which is back at once
-	pick     uint64        // of a machine
-	share    float64       // of the machines
+}
+
+// undo repairs what the fault has broken when its time is over.
+func (f faultSpan) undo(repair func()) { f.w.after(f.w.untilEnd(f.duration, f.end), repair) }
+
+// isolate leaves a node its workers and users alone.
+func (f faultSpan) isolate(n *node) {
+	n.isolated = true
+	f.undo(func() {
+		n.isolated = false
+		f.w.store.notify()
+	})
+}
+
+// drawnFault is one fault with what is drawn for it.
+type drawnFault struct {
+	faultSpan
+	node  *node
+	down  time.Duration // that a process is away
+	soon  time.Duration // that a process is away which is back at once
+	pick  uint64        // of a machine
+	share float64       // of the machines
 }
 
 // faultKinds are the faults that a run draws from.
@@ -55,20 +71,17 @@
 // drawFault draws one fault, to be caused later.
 func (w *World) drawFault(end time.Duration) func() {
 	f := &drawnFault{
-		w: w, end: end, node: w.nodes[w.rng.IntN(len(w.nodes))],
-		duration: w.between(3*time.Second, 30*time.Second),
-		down:     w.between(100*time.Millisecond, 6*time.Second),
-		soon:     w.between(20*time.Millisecond, 400*time.Millisecond),
-		pick:     w.rng.Uint64(),
-		share:    0.1 + 0.6*w.rng.Float64(),
+		node:      w.nodes[w.rng.IntN(len(w.nodes))],
+		faultSpan: faultSpan{w: w, end: end, duration: w.between(3*time.Second, 30*time.Second)},
+		down:      w.between(100*time.Millisecond, 6*time.Second),
+		soon:      w.between(20*time.Millisecond, 400*time.Millisecond),
+		pick:      w.rng.Uint64(),
+		share:     0.1 + 0.6*w.rng.Float64(),
 	}
 	kind := faultKinds[w.rng.IntN(len(faultKinds))]
 	return func() { kind(f) }
 }
 
-// undo repairs what the fault has broken when its time is over.
-func (f *drawnFault) undo(repair func()) { f.w.after(f.w.untilEnd(f.duration, f.end), repair) }
-
 // untilEnd is how long something may last that must be over when all faults are.
 func (w *World) untilEnd(duration, end time.Duration) time.Duration {
 	return min(duration, max(end-w.now, 0))
@@ -93,13 +106,7 @@
 	f.undo(func() { f.w.store.setOutage(false) })
 }
 
-func (f *drawnFault) refuseOne() {
-	f.node.refused = true
-	f.undo(func() {
-		f.node.refused = false
-		f.w.store.notify()
-	})
-}
+func (f *drawnFault) refuseOne() { f.w.refuse(f.node, f.duration, f.end) }
 
 func (f *drawnFault) refuseOneWithoutPeers() {
 	f.node.refused, f.node.meshCut = true, true
@@ -114,25 +121,15 @@
 	f.undo(func() { f.node.workersCut = false })
 }
 
-func (f *drawnFault) isolateOne() {
-	f.node.isolated = true
-	f.undo(func() {
-		f.node.isolated = false
-		f.w.store.notify()
-	})
-}
+func (f *drawnFault) isolateOne() { f.isolate(f.node) }
 
 func (f *drawnFault) isolateOneAndCrashOthers() {
-	f.node.isolated = true
 	for _, n := range f.w.nodes {
 		if n != f.node {
 			n.crash(f.down)
 		}
 	}
-	f.undo(func() {
-		f.node.isolated = false
-		f.w.store.notify()
-	})
+	f.isolate(f.node)
 }
 
 func (f *drawnFault) pauseOne() { f.node.pause(f.duration) }
--- a/internal/sim/paired_faults.go
+++ b/internal/sim/paired_faults.go
@@ -8,14 +8,12 @@
 // pairedFault is one of the faults that others are drawn to coincide with: most of them
 // change what the world does for a while.
 type pairedFault struct {
-	w        *World
-	end      time.Duration // of all faults
-	duration time.Duration
-	share    float64
-	hang     time.Duration // that machines of cancelled jobs hang
-	soon     time.Duration // that a process is away which is back at once
-	count    int           // jobs that are cancelled
-	pick     uint64        // of the kind, and of a node
+	faultSpan
+	share float64
+	hang  time.Duration // that machines of cancelled jobs hang
+	soon  time.Duration // that a process is away which is back at once
+	count int           // jobs that are cancelled
+	pick  uint64        // of the kind, and of a node
 }
 
 // pairedFaultKinds are the faults that a run of pairs draws from.
@@ -50,21 +48,17 @@
 // drawPairedFault draws one of them, to be caused later.
 func (w *World) drawPairedFault(end time.Duration) func() {
 	f := &pairedFault{
-		w: w, end: end,
-		duration: w.between(4*time.Second, 30*time.Second),
-		share:    0.05 + 0.5*w.rng.Float64(),
-		hang:     w.between(2*time.Second, 20*time.Second),
-		soon:     w.between(50*time.Millisecond, 900*time.Millisecond),
-		count:    1 + w.rng.IntN(12),
-		pick:     w.rng.Uint64(),
+		faultSpan: faultSpan{w: w, end: end, duration: w.between(4*time.Second, 30*time.Second)},
+		share:     0.05 + 0.5*w.rng.Float64(),
+		hang:      w.between(2*time.Second, 20*time.Second),
+		soon:      w.between(50*time.Millisecond, 900*time.Millisecond),
+		count:     1 + w.rng.IntN(12),
+		pick:      w.rng.Uint64(),
 	}
 	kind := pairedFaultKinds[f.pick%uint64(len(pairedFaultKinds))]
 	return func() { kind(f) }
 }
 
-// undo repairs what the fault has broken when its time is over.
-func (f *pairedFault) undo(repair func()) { f.w.after(f.w.untilEnd(f.duration, f.end), repair) }
-
 // raise sets a share of the world's faults for a while.
 func (f *pairedFault) raise(share *float64) {
 	*share = f.share
@@ -159,13 +153,9 @@
 
 // isolateLeader leaves the leader its workers and users alone.
 func (f *pairedFault) isolateLeader() {
-	w, leader := f.w, f.w.leading()
-	leader.isolated = true
+	w := f.w
 	w.after(w.between(0, 2*time.Second), func() { w.users.cancelRunning(f.count, 0) })
-	f.undo(func() {
-		leader.isolated = false
-		w.store.notify()
-	})
+	f.isolate(w.leading())
 }
 
 // isolateZone cuts off a zone with a controller in it, for longer than a lease.
--- a/internal/sim/runs_test.go
+++ b/internal/sim/runs_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// combinations must each come about on some of the runs; docs/fault-combinations.md lists them.
+// pairCoverage lists the combinations that must each come about on some of the runs; docs/fault-combinations.md lists them.
 var pairCoverage = []string{
 	"leases renewed in an outage after a cancellation was told",
 	"by a leader that had been refused alone",
--- a/reduction/dynamic_test.go
+++ b/reduction/dynamic_test.go
@@ -10,7 +10,7 @@
 
 // A dynamic graph agrees with the fixed one at every moment: which nodes are ready, and
 // which have failed, whatever the order in which nodes and outcomes become known.
-func TestGrowingAgreesWithFixed(t *testing.T) {
+func TestDynamicAgreesWithFixed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "nodes")
 		pred := make([][]int, n)
