Zone recovery: restart order, gradual return and hold-down, switched on by a block

Need: the work of a lost zone went through the ordinary queue, and a zone that returned got everything that fitted at once, on cold caches. Change: package zones (a pure state machine), start limits and restart phases in the scheduler, and controller/zone_*.go, which looks at the zones by what the failure detector knows, limits starts, orders rentals and keeps one record for each zone. deploy/zone-recovery.hcl switches it on; deploy/service.toml does not.

--- a/config/config.go
+++ b/config/config.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclparse"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/pelletier/go-toml/v2"
 )
 
@@ -117,6 +118,9 @@
 	HeadroomMost float64 `hcl:"headroom_most,optional"`
 	Surge        float64 `hcl:"surge,optional"`
 	SurgeBatch   float64 `hcl:"surge_batch,optional"`
+
+	ZoneRecoveryBlock *zoneRecoveryBlock `hcl:"zone_recovery,block"`
+	ZoneRecovery      *ZoneRecovery      // what follows from the block; nil: zone recovery is off
 }
 
 // DefaultOperator are the settings where the file says nothing.
@@ -192,17 +196,35 @@
 	if err := o.check(); err != nil {
 		return o, fmt.Errorf("%s: %w", path, err)
 	}
+	if o.ZoneRecoveryBlock != nil {
+		recovery, err := o.ZoneRecoveryBlock.settings()
+		if err != nil {
+			return o, fmt.Errorf("%s: %w", path, err)
+		}
+		o.ZoneRecovery, o.ZoneRecoveryBlock = recovery, nil
+	}
 	return o, nil
 }
 
 // fieldAt names the setting that a complaint is about; HCL tells only where it is.
 func fieldAt(body hcl.Body, at *hcl.Range) string {
-	attrs, _ := body.JustAttributes()
-	for name, a := range attrs {
-		if at != nil && a.Range.ContainsPos(at.Start) {
+	native, ok := body.(*hclsyntax.Body)
+	if !ok || at == nil {
+		return "unknown"
+	}
+	for name, a := range native.Attributes {
+		if a.SrcRange.ContainsPos(at.Start) {
 			return name
 		}
 	}
+	for _, block := range native.Blocks {
+		if name := fieldAt(block.Body, at); name != "unknown" {
+			return block.Type + "." + name
+		}
+		if block.Range().ContainsPos(at.Start) {
+			return block.Type
+		}
+	}
 	return "unknown"
 }
 
--- /dev/null
+++ b/config/zone_recovery.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"pumicefront/zones"
+)
+
+// ZoneRecovery are the operators' settings of the recovery of zones; docs/operations.md explains each.
+type ZoneRecovery struct {
+	zones.Settings
+	StatusListen string // address of the status endpoint; empty: none
+	Trace        string // file that spans are written to, or TraceStderr; empty: none
+}
+
+// TraceStderr as the file for spans stands for standard error.
+const TraceStderr = "stderr"
+
+// zoneRecoveryBlock is the block as it stands in the operators' file; what it leaves out has its
+// default.
+type zoneRecoveryBlock struct {
+	LostAfter    *string `hcl:"lost_after,optional"`
+	HoldDown     *string `hcl:"hold_down,optional"`
+	HoldDownMost *string `hcl:"hold_down_most,optional"`
+	FlapWindow   *string `hcl:"flap_window,optional"`
+	FirstStarts  *int    `hcl:"first_starts,optional"`
+	FirstFetches *int    `hcl:"first_fetches,optional"`
+	StatusListen *string `hcl:"status_listen,optional"`
+	Trace        *string `hcl:"trace,optional"`
+}
+
+// settings checks the block and fills in the defaults.
+func (b *zoneRecoveryBlock) settings() (*ZoneRecovery, error) {
+	z := &ZoneRecovery{Settings: zones.DefaultSettings()}
+	for _, d := range []struct {
+		name string
+		text *string
+		into *time.Duration
+	}{
+		{"lost_after", b.LostAfter, &z.LostAfter},
+		{"hold_down", b.HoldDown, &z.HoldDown},
+		{"hold_down_most", b.HoldDownMost, &z.HoldDownMost},
+		{"flap_window", b.FlapWindow, &z.FlapWindow},
+	} {
+		if d.text == nil {
+			continue
+		}
+		parsed, err := time.ParseDuration(*d.text)
+		if err != nil {
+			return nil, fmt.Errorf("field zone_recovery.%s: %w", d.name, err)
+		}
+		*d.into = parsed
+	}
+	z.FirstStarts, z.FirstFetches = orNow(b.FirstStarts, z.FirstStarts), orNow(b.FirstFetches, z.FirstFetches)
+	if b.StatusListen != nil {
+		z.StatusListen = *b.StatusListen
+	}
+	if b.Trace != nil {
+		z.Trace = *b.Trace
+	}
+	return z, z.check()
+}
+
+func (z *ZoneRecovery) check() error {
+	if z.StatusListen != "" {
+		if _, err := netip.ParseAddrPort(z.StatusListen); err != nil {
+			return fmt.Errorf("field zone_recovery.status_listen: %w", err)
+		}
+	}
+	return checkFields([]field{
+		{"zone_recovery.lost_after (seconds)", z.LostAfter.Seconds(), 0.1, 600},
+		{"zone_recovery.hold_down (seconds)", z.HoldDown.Seconds(), 0, 600},
+		{"zone_recovery.hold_down_most (seconds)", z.HoldDownMost.Seconds(), z.HoldDown.Seconds(), 3600},
+		{"zone_recovery.flap_window (seconds)", z.FlapWindow.Seconds(), 1, 86400},
+		{"zone_recovery.first_starts", float64(z.FirstStarts), 1, 1e6},
+		{"zone_recovery.first_fetches", float64(z.FirstFetches), 1, 1e6},
+	})
+}
+
+// String lists the settings as check-settings prints them.
+func (z *ZoneRecovery) String() string {
+	if z == nil {
+		return "off"
+	}
+	return fmt.Sprintf("%+v", *z)
+}
--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -30,6 +30,7 @@
 	phase       attemptPhase
 	restored    bool // an earlier leader's: its run is not sent again
 	placedByAge bool // placed after waiting its turn
+	fetches     bool // its machine lacked its image
 	placed      time.Time
 	since       time.Time // running since
 	stopping    bool
--- a/controller/core.go
+++ b/controller/core.go
@@ -155,6 +155,8 @@
 		c.report(in)
 	case MeshMessage:
 		c.meshMessage(in.Envelope)
+	case ZoneStatusRequest:
+		c.zoneStatus(in)
 	}
 }
 
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pumicefront/config"
 	"pumicefront/reduction"
 	"pumicefront/scheduler"
 	"pumicefront/wire"
@@ -89,11 +90,8 @@
 func (l *leader) missed(j *job) int {
 	n, over := 0, 0.0 // by how many times the age exceeds the last of them
 	for _, o := range l.c.cfg.Facts.Objectives {
-		within, age := o.WithinS, l.c.now.Sub(j.ready).Seconds()
-		switch {
-		case o.Kind == "deadline" && j.due.last != nil && o.Class == j.due.last.Class:
-			within, age = j.due.within(o.Times), l.c.now.Sub(j.due.from).Seconds()
-		case o.Kind != "finished" || o.Class != j.spec.Class:
+		within, age, applies := l.finishAim(j, o)
+		if !applies {
 			continue
 		}
 		if age+j.spec.EstimateS > within {
@@ -109,6 +107,18 @@
 	return n
 }
 
+// finishAim returns within how many seconds an objective wants a job finished, how much of that
+// has passed, and whether it is about the job's finishing at all.
+func (l *leader) finishAim(j *job, o config.Objective) (within, age float64, applies bool) {
+	switch {
+	case o.Kind == "deadline" && j.due.last != nil && o.Class == j.due.last.Class:
+		return j.due.within(o.Times), l.c.now.Sub(j.due.from).Seconds(), true
+	case o.Kind == "finished" && o.Class == j.spec.Class:
+		return o.WithinS, l.c.now.Sub(j.ready).Seconds(), true
+	}
+	return 0, 0, false
+}
+
 // workLeft estimates what is left of a job: the sizes of its tasks times seconds.
 func (l *leader) workLeft(j *job) float64 {
 	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * l.c.measure.Of(jobEach(&j.spec)) * j.spec.EstimateS
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -97,9 +97,10 @@
 	}
 	machines := l.view(true)
 	demands := append(l.backlog(), l.headroom()...)
+	l.zones.closeZones(demands)
 	wants := scheduler.Fleet(machines, demands, l.offers(), rentMost)
 	for _, w := range wants {
-		for left := w.Count; left > 0; left -= rentCall {
+		for left := l.zones.rentable(w.Offer.Zone, w.Count); left > 0; left -= rentCall {
 			l.rent(wire.Rent{Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(left, rentCall)})
 		}
 	}
--- a/controller/job.go
+++ b/controller/job.go
@@ -166,6 +166,7 @@
 	}
 	delete(j.attempts, a.task)
 	a.machine.remove(a)
+	l.zones.startOver(a, o, why)
 	j.disrupted = j.disrupted || a.phase >= attemptSeen && o == reduction.Reset
 	j.state.Accumulate(a.task, o)
 	if !j.ended {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -47,6 +47,7 @@
 	progressAt   time.Time
 	hintedAt     time.Time
 	progressTold map[string]jobCount
+	zones        *zoneRecovery // nil: switched off
 }
 
 // run is the leader's part of every step.
@@ -56,8 +57,10 @@
 	}
 	l.noteListening()
 	l.proveGone()
+	l.zones.run()
 	l.place()
 	l.flush()
+	l.zones.keepRecords()
 	l.sendCommands()
 	l.runFleet()
 	l.broadcastProgress()
--- a/controller/machine_returns.go
+++ b/controller/machine_returns.go
@@ -73,6 +73,7 @@
 		return
 	}
 	m.releasing = true
+	l.zones.noteReleased(m, why)
 	l.c.log(slog.LevelInfo, "releasing machine", "machine", m.id, "why", why, "tasks", len(m.attempts))
 }
 
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -38,6 +38,7 @@
 	if len(demands) == 0 {
 		return
 	}
+	l.zones.limitStarts(demands)
 	all := l.view(true)
 	machines := slices.DeleteFunc(slices.Clone(all), func(m *scheduler.Machine) bool { return m.Virtual })
 	demands = scheduler.OrderWithAging(demands, l.reserve(machines))
@@ -74,6 +75,7 @@
 			}
 		}
 	}
+	l.zones.noteHeldBack()
 }
 
 // placeSome places what has room, takes it off the demand, and counts it. What is
@@ -147,7 +149,7 @@
 // plan puts an attempt in force; its run is sent once the record is written.
 func (l *leader) plan(j *job, p scheduler.Assignment, number uint64) *attempt {
 	m := l.machines[p.Machine.ID]
-	a := &attempt{job: j, task: p.Task, number: number, machine: m, session: m.session, placed: l.c.now}
+	a := &attempt{job: j, task: p.Task, number: number, machine: m, session: m.session, placed: l.c.now, fetches: !m.images[j.spec.Image]}
 	j.attempts[p.Task] = a
 	m.add(a)
 	j.state.Start(p.Task)
@@ -164,6 +166,9 @@
 	if d.Rank > 0 && !d.WithinGuarantee || d.AgeS < l.canWait(d) {
 		return 0 // what is running may make room in time, and loses nothing
 	}
+	if l.zones.recovering() {
+		machines = slices.DeleteFunc(slices.Clone(machines), func(m *scheduler.Machine) bool { return l.zones.limitedZone(m.Zone) })
+	}
 	victims, room := scheduler.Preempt(machines, d, min(missing, 32), excess, l.c.now)
 	for _, v := range victims {
 		a := l.jobs[v.Job].attempts[v.Task]
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -41,7 +41,16 @@
 			again()
 		default:
 			read(rentalPrefix, func(hires []wire.Item) {
-				read(taskPrefix, func(tasks []wire.Item) { l.rebuild(tasks, hires) })
+				read(taskPrefix, func(tasks []wire.Item) {
+					if l.zones == nil {
+						l.rebuild(tasks, hires)
+						return
+					}
+					read(zonePrefix, func(kept []wire.Item) {
+						l.zones.restoreZones(kept)
+						l.rebuild(tasks, hires)
+					})
+				})
 			})
 		}
 	})
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -49,7 +50,7 @@
 // few, and others need them.
 func (l *leader) sendRentals() {
 	f := &l.fleet
-	for _, name := range slices.Sorted(maps.Keys(f.rentals)) {
+	for _, name := range l.rentalOrder() {
 		h := f.rentals[name]
 		switch {
 		case h.version == 0 || h.asking:
@@ -66,6 +67,18 @@
 	}
 }
 
+// rentalOrder lists the names of the rentals; while zones recover, in the order in which they were
+// decided, so that what restarts first is asked for first.
+func (l *leader) rentalOrder() []string {
+	names := slices.Sorted(maps.Keys(l.fleet.rentals))
+	if l.zones.recovering() {
+		slices.SortStableFunc(names, func(a, b string) int {
+			return cmp.Or(l.fleet.rentals[a].since.Compare(l.fleet.rentals[b].since), cmp.Compare(len(a), len(b)))
+		})
+	}
+	return names
+}
+
 func (h *rental) offer() offerKey { return offerKey{h.rent.Type, h.rent.Zone, h.rent.Spot} }
 
 func (l *leader) rentalAnswered(h *rental, r CloudReply) {
@@ -158,7 +171,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				at, refused := l.fleet.refused[offerKey{name, zone, spot}]
-				if refused && l.c.now.Sub(at) < noCapacity {
+				if refused && l.c.now.Sub(at) < noCapacity || l.zones.rentable(zone, 1) == 0 {
 					continue
 				}
 				out = append(out, scheduler.Offer{Type: name, Zone: zone, Spot: spot, Cap: capOf(t), Price: priceOf(t, spot)})
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -171,6 +171,7 @@
 		a.advance(attemptRunning)
 		a.since, a.job.begun = l.c.now, true
 		a.machine.images[a.job.spec.Image] = true
+		l.zones.startSeen(a)
 		l.c.log(slog.LevelDebug, "task running", "job", a.job.id, "task", a.task, "attempt", a.number,
 			"machine", a.machine.id, "after", l.c.now.Sub(a.placed))
 	}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -16,10 +16,12 @@
 	hires  map[string][]string
 	outage bool
 	most   int // of each type
+
+	refusing map[string]bool // zones in which nothing can be rented
 }
 
 func newCloud(w *World) *cloud {
-	return &cloud{w: w, hires: map[string][]string{}, most: (w.shape.Machines + 1) / 2}
+	return &cloud{w: w, hires: map[string][]string{}, refusing: map[string]bool{}, most: (w.shape.Machines + 1) / 2}
 }
 
 func (c *cloud) call(n *node, call controller.CloudCall) {
@@ -81,14 +83,17 @@
 	if names, ok := c.hires[r.Request]; ok {
 		return names, true
 	}
-	up := 0
+	up, most := 0, c.most
 	for _, h := range c.w.hosts {
-		if !h.gone && h.typ == r.Type {
+		if !h.gone && h.typ == r.Type && (c.w.shape.Zones == 0 || h.zone == r.Zone) {
 			up++
 		}
 	}
+	if c.w.shape.Zones > 0 {
+		most = c.inZone(r.Zone)
+	}
 	names := []string{}
-	for i := 0; i < r.Count && up+i < c.most; i++ {
+	for i := 0; i < r.Count && up+i < most; i++ {
 		names = append(names, c.w.newHost(fmt.Sprintf("i-%06d", c.next), r.Type, r.Zone, r.Spot).id)
 		c.next++
 	}
@@ -99,6 +104,14 @@
 	return names, true
 }
 
+// inZone is how many machines of each type a zone has.
+func (c *cloud) inZone(zone string) int {
+	if c.refusing[zone] {
+		return 0
+	}
+	return (c.most + c.w.shape.Zones - 1) / c.w.shape.Zones
+}
+
 // list is late by the lag: it omits young machines and shows those that have
 // gone lately.
 func (c *cloud) list(after string) wire.MachinePage {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -61,6 +61,7 @@
 		boot = time.Hour // never comes up
 	}
 	h.up = w.now + boot
+	h.cut = w.faults.darkZones[zone]
 	w.hosts = append(w.hosts, h)
 	w.after(boot, func() {
 		h.leaseFrom = w.now
@@ -379,11 +380,19 @@
 	}
 	fetch := 10 * time.Millisecond
 	if !h.images[j.spec.Image] {
+		h.w.noteFetch(h.zone)
 		fetch = h.w.between(time.Second, 4*time.Second)
 	}
 	h.later(t, fetch, func() { h.start(t, j) })
 }
 
+// fetches tells whether the machine fetches an image.
+func (h *host) fetches() bool {
+	return slices.ContainsFunc(h.tasks, func(t *task) bool {
+		return t.state == wire.TaskFetching && t.job != nil && !h.images[t.job.spec.Image]
+	})
+}
+
 func (h *host) size() wire.MachineType {
 	types := h.w.shape.types()
 	return types[slices.IndexFunc(types, func(t wire.MachineType) bool { return t.Name == h.typ })]
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -183,6 +183,10 @@
 		n.callWorker(o)
 	case controller.MeshSend:
 		n.sendMesh(o)
+	case controller.ZoneChanged:
+		n.w.noteZone(o)
+	case controller.TaskRestarted:
+		n.w.noteTaskRestart(o)
 	case controller.Event:
 		n.w.Log("%v %s %s %v", n.w.now, n.name, o.Text, o.Attrs)
 	}
--- a/internal/sim/paired_faults.go
+++ b/internal/sim/paired_faults.go
@@ -162,18 +162,8 @@
 func (f *pairedFault) isolateZone() {
 	w := f.w
 	n := w.nodes[f.pick>>8%uint64(len(w.nodes))]
-	w.faults.isolated = isolatedZone{"a", n}
-	n.isolated = true
+	w.isolate("a", n, w.untilEnd(w.leaseTime()+f.duration, f.end))
 	w.users.cancelRunning(f.count, 0)
-	since := w.now
-	w.after(w.untilEnd(w.leaseTime()+f.duration, f.end), func() {
-		if w.now-since > w.leaseTime() {
-			w.coverage["a zone with a controller cut off"]++
-		}
-		w.faults.isolated = isolatedZone{}
-		n.isolated = false
-		w.store.notify()
-	})
 }
 
 // overloadSlowLinks brings much more work than room, over slow links.
--- a/internal/sim/settings.go
+++ b/internal/sim/settings.go
@@ -20,6 +20,9 @@
 		f.State.Next.ValueKB, f.State.Next.TxnOps, f.State.Next.WriteRPS = &next.ValueKB, &next.TxnOps, &next.WriteRPS
 		f.Objectives = append(f.Objectives, config.Objective{Kind: "deadline", Class: "last", Times: 1})
 	}
+	if s.Zones > 0 { // batches have an aim, bulk work has none
+		f.Objectives = append(f.Objectives, config.Objective{Kind: "finished", Class: "batch", WithinS: 90})
+	}
 	if s.GPUs { // one team has GPUs alone, one cores alone, one both
 		f.Teams = []config.Team{{Name: "red", GPUs: 4 * s.Scale, GPUsMax: 8 * s.Scale},
 			{Name: "blue", CPUs: 12 * s.Scale, CPUsMax: 48 * s.Scale, GPUs: 2 * s.Scale, GPUsMax: 9 * s.Scale},
@@ -40,6 +43,7 @@
 	ArrivalInterval time.Duration // between submissions, in the mean
 	GPUs            bool          // are what the teams share; reports come seldom and little can be written
 	Chains          bool          // users submit pipelines, and the state service lowers its limits
+	Zones           int           // among which the machines are divided evenly; 0: two, of which either may have all
 }
 
 // The shapes that runs are played in: as the first deployments are, as they have
@@ -51,5 +55,6 @@
 	Fleet     = Shape{Controllers: 5, Machines: 1900, Scale: 400, Tasks: 300, ArrivalInterval: 600 * time.Millisecond}
 	GPUs      = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, ArrivalInterval: 4 * time.Second, GPUs: true}
 	Chains    = Shape{Controllers: 3, Machines: 24, Scale: 4, Tasks: 20, ArrivalInterval: 6 * time.Second, Chains: true}
+	Zoned     = Shape{Controllers: 3, Machines: 42, Scale: 6, Tasks: 16, ArrivalInterval: 2500 * time.Millisecond, Zones: 3}
 	LargeGPUs = Shape{Controllers: 5, Machines: 2600, Scale: 80, Tasks: 150, ArrivalInterval: 700 * time.Millisecond, GPUs: true}
 )
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -90,6 +90,9 @@
 	if w.shape.GPUs {
 		w.needGPUs(j)
 	}
+	if w.shape.Zones > 0 && j.spec.Kind == wire.KindArray && w.chance(0.5) {
+		j.spec.Class = "bulk"
+	}
 	if !j.spec.Spread && w.chance(0.2) {
 		j.spec.OneZone = true
 	}
@@ -97,7 +100,8 @@
 		j.spec.Types = []string{"big"}
 	}
 	if !j.spec.Spread && w.chance(0.1) {
-		j.spec.Zone = w.shape.types()[0].Zones[w.rng.IntN(2)]
+		zones := w.shape.zones()
+		j.spec.Zone = zones[w.rng.IntN(len(zones))]
 	}
 	j.done = make([]bool, j.spec.Tasks)
 	return j
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -39,6 +39,7 @@
 
 	shape         Shape
 	faults        faults
+	zoneHistory   zoneHistory
 	deterministic bool     // nothing is lost, copied or late by chance
 	topToken      uint64   // the highest that anything was sent with
 	keptReports   []func() // copies of reports, for the next leader
@@ -63,19 +64,20 @@
 // faults are the faults that change what the world does for a while. Shares are of
 // all that could be hit.
 type faults struct {
-	lateWrites         float64       // transactions carried out seconds later, after newer ones, unanswered
-	lostAnswers        float64       // transactions carried out at once, unanswered
-	slowState          time.Duration // that each call of the state service may take
-	delayedCommands    float64       // direct commands that arrive long after they were given up
-	commandDelay       time.Duration // by how much; 0: it is drawn
-	lostCommandAnswers float64       // direct commands that are carried out, their answer given up
-	duplicateReports   float64       // reports of which a copy arrives again, up to well over a lease later
-	keepReports        float64       // reports of which a copy is kept for the next leader
-	slowLinks          time.Duration // that each message may take longer
-	fastBoots          bool          // machines are up within two seconds
-	isolated           isolatedZone  // a zone that is cut off, with a controller in it
-	cancelAtEnd        float64       // jobs cancelled as their last task ends
-	askAllNodes        bool          // users ask all nodes within milliseconds of what they are told
+	lateWrites         float64         // transactions carried out seconds later, after newer ones, unanswered
+	lostAnswers        float64         // transactions carried out at once, unanswered
+	slowState          time.Duration   // that each call of the state service may take
+	delayedCommands    float64         // direct commands that arrive long after they were given up
+	commandDelay       time.Duration   // by how much; 0: it is drawn
+	lostCommandAnswers float64         // direct commands that are carried out, their answer given up
+	duplicateReports   float64         // reports of which a copy arrives again, up to well over a lease later
+	keepReports        float64         // reports of which a copy is kept for the next leader
+	slowLinks          time.Duration   // that each message may take longer
+	fastBoots          bool            // machines are up within two seconds
+	isolated           isolatedZone    // a zone that is cut off, with a controller in it
+	darkZones          map[string]bool // zones whose machines reach nobody, new ones either
+	cancelAtEnd        float64         // jobs cancelled as their last task ends
+	askAllNodes        bool            // users ask all nodes within milliseconds of what they are told
 }
 
 // isolatedZone is a zone and the controller in it that are cut off from everything else.
@@ -117,6 +119,7 @@
 		shape: shape,
 		rng:   rand.New(rand.NewPCG(seed, 77)), start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
 		op: config.DefaultOperator(), Log: func(string, ...any) {}, coverage: map[string]int{},
+		faults: faults{darkZones: map[string]bool{}},
 	}
 	w.cfg = settings(shape)
 	w.store = newStore(w)
@@ -189,7 +192,21 @@
 	return w.cfg.Facts.Teams[i]
 }
 
+// zones are where machines can be rented.
+func (s Shape) zones() []string {
+	if s.Zones > 0 {
+		return []string{"a", "b", "c", "d", "e"}[:s.Zones]
+	}
+	return []string{"a", "b"}
+}
+
 func (s Shape) types() []wire.MachineType {
+	if s.Zones > 0 {
+		return []wire.MachineType{
+			{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 0.5, Price: 1, SpotPrice: 0.4, BootS: 8, Zones: s.zones()},
+			{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBps: 0.5, Price: 3, SpotPrice: 1, BootS: 10, Zones: s.zones()},
+		}
+	}
 	if s.GPUs {
 		return []wire.MachineType{
 			{Name: "small", CPUs: 12, GPUs: 2, MemoryGB: 72, CacheGB: 50, FetchGBps: 0.5, Price: 5, SpotPrice: 1.4, BootS: 8, Zones: []string{"a", "b"}},
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -31,6 +31,8 @@
 	InZone           map[string]int // tasks in force by zone
 	RoomInTeam       int            // tasks that the team's limit still allows
 	Avoid            map[string]bool
+	Phase            RestartPhase           // while work of a failed zone restarts
+	Limits           map[string]*StartLimit // by zone; none: anything may start there
 }
 
 // Allows tells whether the demand's fixed constraints accept a machine.
@@ -45,6 +47,15 @@
 
 // zoneRoom is how many more tasks may go to a zone.
 func (d *Demand) zoneRoom(zone string) int {
+	room := d.spreadRoom(zone)
+	if limit := d.Limits[zone]; limit != nil {
+		return min(room, limit.room(d))
+	}
+	return room
+}
+
+// spreadRoom is how many more tasks a job's own constraints allow in a zone.
+func (d *Demand) spreadRoom(zone string) int {
 	if d.OneZone {
 		for z, n := range d.InZone {
 			if n > 0 && z != zone {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -12,7 +12,8 @@
 // the others, the oldest first.
 func Order(ds []*Demand) {
 	slices.SortStableFunc(ds, func(a, b *Demand) int {
-		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(b.agedBy(), a.agedBy()), cmp.Compare(flag(!a.WithinGuarantee), flag(!b.WithinGuarantee)),
+		return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(b.agedBy(), a.agedBy()), cmp.Compare(a.servicePhase(), b.servicePhase()),
+			cmp.Compare(flag(!a.WithinGuarantee), flag(!b.WithinGuarantee)), cmp.Compare(a.Phase, b.Phase), cmp.Compare(flag(!a.limitedTo()), flag(!b.limitedTo())),
 			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Late, b.Late), cmp.Compare(a.WorkS, b.WorkS), cmp.Compare(b.AgeS, a.AgeS), cmp.Compare(a.Job, b.Job))
 	})
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -67,7 +67,7 @@
 	if d.Gang && len(out) < want {
 		for _, p := range out {
 			p.Machine.Free = p.Machine.Free.Add(d.Each, 1)
-			d.InZone[p.Machine.Zone]--
+			d.countStarts(p.Machine, -1)
 		}
 		return nil
 	}
@@ -158,12 +158,12 @@
 	var out []Assignment
 	for len(out) < want && len(r.cs) > 0 {
 		m := r.cs[0].Machine
-		if d.zoneRoom(m.Zone) <= 0 || m.Free.Fits(d.Each) == 0 {
+		if d.spreadRoom(m.Zone) <= 0 || m.Free.Fits(d.Each) == 0 || !d.mayStart(m) {
 			heap.Pop(r)
 			continue
 		}
 		m.Free = m.Free.Add(d.Each, -1)
-		d.InZone[m.Zone]++
+		d.countStarts(m, 1)
 		out = append(out, Assignment{d.Tasks[len(out)], m})
 		r.cs[0] = d.candidate(m)
 		heap.Fix(r, 0)
