Zones: status endpoint, pumicefront zones, spans of recoveries, a test with real processes

Need: operators have to see what a recovery does, and loopback evidence that every task has one owner and every job one final answer throughout. Change: zonetrace (OpenTelemetry), zoneview (bubbletea, plain lines without a terminal), an endpoint on an address of its own; internal/sim plays its stand-ins in real time against processes of the program, and internal/history checks what happened, itself checked against histories broken on purpose.

--- a/cmd/pumicefront/main.go
+++ b/cmd/pumicefront/main.go
@@ -8,11 +8,14 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/mattn/go-isatty"
 
 	"pumicefront/config"
 	"pumicefront/server"
+	"pumicefront/zoneview"
 )
 
 const version = "0.1.0"
@@ -62,6 +65,23 @@
 	return nil
 }
 
+type zonesCmd struct {
+	Address  []string      `help:"Status endpoint of a controller (status_listen in its settings); may be given several times." required:""`
+	Interval time.Duration `help:"How often to ask again, in a terminal." default:"1s"`
+	Once     bool          `help:"Print plain lines once, in a terminal too."`
+}
+
+// Run shows the zones until its user ends it, or once where there is no terminal.
+func (c *zonesCmd) Run() error {
+	if c.Once || !isatty.IsTerminal(os.Stdout.Fd()) {
+		return zoneview.Print(context.Background(), os.Stdout, c.Address)
+	}
+	return zoneview.Watch(context.Background(), c.Address, max(c.Interval, shortestInterval))
+}
+
+// shortestInterval keeps a view from asking the core all the time.
+const shortestInterval = 200 * time.Millisecond
+
 type versionCmd struct{}
 
 // Run prints the version.
@@ -93,6 +113,7 @@
 	var cli struct {
 		Serve         serveCmd   `cmd:"" help:"Run a controller."`
 		CheckSettings checkCmd   `cmd:"" help:"Check both settings files and print what was understood."`
+		Zones         zonesCmd   `cmd:"" help:"Show the state of the zones (zone recovery must be on)."`
 		Version       versionCmd `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("pumicefront"), kong.Description("A scheduler for a cluster of rented machines."))
--- a/controller/election.go
+++ b/controller/election.go
@@ -98,6 +98,7 @@
 
 func (c *Core) stepDown(why string) {
 	c.log(slog.LevelInfo, "no longer leading", "token", c.lead.token, "why", why)
+	c.lead.zones.handOver()
 	c.lead = nil
 	c.promises.promisedUntil, c.promises.onPromises, c.promises.asks = time.Time{}, false, nil
 	c.claimAfter = c.now
--- a/controller/zone_displacement.go
+++ b/controller/zone_displacement.go
@@ -96,3 +96,14 @@
 	Zone string
 	At   time.Time
 }
+
+// RecoveriesHandedOver tells that this controller leads no more and that zones still recover: the
+// next leader goes on.
+type RecoveriesHandedOver struct{ At time.Time }
+
+// handOver tells that recoveries go on under another leader.
+func (z *zoneRecovery) handOver() {
+	if z != nil && len(z.open) > 0 {
+		z.c.emit(RecoveriesHandedOver{At: z.c.now})
+	}
+}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -126,7 +126,7 @@
 		if h.up > asOf {
 			state = wire.MachineBooting
 		}
-		p.Machines = append(p.Machines, wire.Machine{ID: h.id, Addr: h.id, Type: h.typ, Zone: h.zone, Spot: h.spot, State: state,
+		p.Machines = append(p.Machines, wire.Machine{ID: h.id, Addr: h.address(), Type: h.typ, Zone: h.zone, Spot: h.spot, State: state,
 			AgeS: (asOf - h.born).Seconds()})
 	}
 	return p
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumicefront/controller"
+	"pumicefront/internal/history"
 	"pumicefront/wire"
 )
 
@@ -35,6 +36,7 @@
 	sendsNothing    bool     // it can't open connections to controllers; commands reach it
 	noReports       bool     // it makes no reports, though it runs
 	off             bool     // is starting again
+	listens         string   // where it takes commands, if controllers are real
 	deferred        []func() // messages that wait for the end of a cut
 	whileHung       []func() // what a hanging machine will do when it continues
 }
@@ -62,6 +64,9 @@
 	}
 	h.up = w.now + boot
 	h.cut = w.faults.darkZones[zone]
+	if w.live != nil {
+		w.live.listen(h)
+	}
 	w.hosts = append(w.hosts, h)
 	w.after(boot, func() {
 		h.leaseFrom = w.now
@@ -71,6 +76,14 @@
 	return h
 }
 
+// address is where controllers send commands.
+func (h *host) address() string {
+	if h.listens != "" {
+		return h.listens
+	}
+	return h.id
+}
+
 // do runs fn on the machine: never when it is gone, later when it hangs.
 func (h *host) do(fn func()) {
 	switch {
@@ -122,6 +135,7 @@
 func (h *host) restart(down time.Duration) {
 	w := h.w
 	w.Log("%v %s restarts with %d tasks", w.now, h.id, len(h.tasks))
+	h.noteEnds()
 	h.off, h.tasks, h.deferred, h.whileHung, h.hung = true, nil, nil, nil, false
 	h.reporting++
 	fresh := w.chance(0.5)
@@ -141,6 +155,7 @@
 
 func (h *host) vanish() {
 	h.w.noteLostTasks(h)
+	h.noteEnds()
 	h.gone, h.goneAt = true, h.w.now
 }
 
@@ -165,6 +180,7 @@
 	}
 	h.w.Log("%v %s lease ran out with %d tasks", h.w.now, h.id, len(h.tasks))
 	h.session++
+	h.noteEnds()
 	h.tasks = nil
 	h.leaseFrom = h.w.now
 	h.reporting++
@@ -174,7 +190,7 @@
 
 func (h *host) snapshot() wire.Report {
 	h.seq++
-	r := wire.Report{Machine: h.id, Addr: h.id, Type: h.typ, Zone: h.zone, Spot: h.spot, Session: h.session, Seq: h.seq, Token: h.token}
+	r := wire.Report{Machine: h.id, Addr: h.address(), Type: h.typ, Zone: h.zone, Spot: h.spot, Session: h.session, Seq: h.seq, Token: h.token}
 	if h.notice {
 		left := 5.0
 		r.NoticeS = &left
@@ -209,7 +225,7 @@
 	copyTo := func(x *node) func() {
 		late := rep
 		return func() {
-			if x.core != nil {
+			if !x.down() {
 				h.tamper(true, &late)
 				w.noteOldReport(h, x, &late)
 				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: late} }, func(controller.Answer) {})
@@ -230,7 +246,7 @@
 	}
 	n := w.nodes[h.node]
 	send := func() {
-		if n.core == nil {
+		if n.down() {
 			w.after(w.latency(), func() { h.reach(func() { h.failed(number) }) })
 			return
 		}
@@ -348,6 +364,9 @@
 }
 
 func (h *host) exit(t *task, why string) {
+	if t.onMachine() {
+		h.noteEnd(t)
+	}
 	t.state, t.why = wire.TaskExited, why
 	h.soon()
 }
@@ -413,6 +432,10 @@
 	h.images[j.spec.Image] = true
 	h.w.checkStart(h, t, j)
 	t.state = wire.TaskRunning
+	if h.w.onStart != nil {
+		h.w.onStart(h, t)
+	}
+	h.w.note(history.Event{Kind: history.Started, Task: t.id, Attempt: t.attempt, Machine: h.id})
 	h.soon()
 	_, n, _ := wire.SplitTask(t.id)
 	switch {
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -30,9 +30,13 @@
 	paused         bool          // stands still while its clocks run on
 	deferred       []func()      // what it does when it goes on
 	cause          controller.Input
-	sent           []func() // commands carried out lately, which may be repeated after a crash
+	sent           []func()  // commands carried out lately, which may be repeated after a crash
+	live           *liveNode // a real controller; nil: a core in virtual time
 }
 
+// down tells whether the process does not run.
+func (n *node) down() bool { return n.core == nil && n.live == nil }
+
 func (n *node) clock() time.Time {
 	now := n.w.start.Add(n.w.now + time.Duration(float64(n.w.now)*n.drift))
 	if n.w.Tamper.Clock != nil {
@@ -112,7 +116,10 @@
 		return
 	}
 	n.cause = in
-	for _, o := range n.core.Step(n.clock(), in) {
+	began := time.Now()
+	outputs := n.core.Step(n.clock(), in)
+	n.w.processor += time.Since(began)
+	for _, o := range outputs {
 		if n.w.Tamper.Output != nil {
 			o = n.w.Tamper.Output(n, o)
 		}
@@ -207,6 +214,10 @@
 
 // ask sends a request to the node; fn gets the answer unless the node dies.
 func (n *node) ask(in func(req uint64) controller.Input, fn func(controller.Answer)) {
+	if n.live != nil {
+		n.live.ask(in(0), fn)
+		return
+	}
 	n.nextReq++
 	req := n.nextReq
 	n.requests[req] = fn
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumicefront/controller"
+	"pumicefront/internal/history"
 	"pumicefront/wire"
 )
 
@@ -255,6 +256,8 @@
 // checkState checks what a user is told about a job, in answer to a request that
 // was sent after before: answers to earlier ones may arrive out of order.
 func (w *World) checkState(j *simJob, before told, s wire.JobState) {
+	w.note(history.Event{Kind: history.Answered, Job: j.spec.ID, Asked: before.at, State: s.State,
+		Final: s.State == wire.StateDone || s.State == wire.StateCancelled})
 	switch {
 	case before.done && s.State != wire.StateDone, before.cancelled && s.State != wire.StateCancelled:
 		w.broken("went_back", "%s is called %s", j.spec.ID, s.State)
--- a/internal/sim/user_checks.go
+++ b/internal/sim/user_checks.go
@@ -7,11 +7,14 @@
 
 // told is what a job's user has been told for good, and whether a job before it has been
 // cancelled for so long that no task and no other state of it may be left.
-type told struct{ done, cancelled, orphaned bool }
+type told struct {
+	done, cancelled, orphaned bool
+	at                        time.Duration // when that was so
+}
 
 func (w *World) told(j *simJob) told {
 	at, off := j.neededCancelled()
-	return told{j.doneTold, j.cancelTold, off && w.now > at+w.cancelTime()}
+	return told{j.doneTold, j.cancelTold, off && w.now > at+w.cancelTime(), w.now}
 }
 
 // neededCancelled tells whether and since when the user of a job before this one has been
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -150,7 +150,7 @@
 	}
 	w.after(5*time.Second, func() { finish(controller.Answer{}) })
 	w.after(w.latency(), func() {
-		if n.core == nil {
+		if n.down() {
 			finish(controller.Answer{})
 			return
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -14,6 +14,7 @@
 
 	"pumicefront/config"
 	"pumicefront/controller"
+	"pumicefront/internal/history"
 	"pumicefront/wire"
 )
 
@@ -40,6 +41,11 @@
 	shape         Shape
 	faults        faults
 	zoneHistory   zoneHistory
+	onStart       func(h *host, t *task) // called when a task starts
+	processor     time.Duration          // that the controllers' cores took
+	keepHistory   bool
+	history       []history.Event
+	live          *live    // real controllers in real time; nil: cores in virtual time
 	deterministic bool     // nothing is lost, copied or late by chance
 	topToken      uint64   // the highest that anything was sent with
 	keptReports   []func() // copies of reports, for the next leader
@@ -82,8 +88,9 @@
 
 // isolatedZone is a zone and the controller in it that are cut off from everything else.
 type isolatedZone struct {
-	zone string
-	node *node
+	zone  string
+	node  *node
+	token uint64 // the highest that any machine had seen before
 }
 
 // parts tells whether a node and a machine can't reach each other for it.
@@ -173,6 +180,13 @@
 	w.now = until
 }
 
+// runDue runs what is due by now.
+func (w *World) runDue() {
+	for len(w.events) > 0 && w.events[0].at <= w.now && len(w.Rules) == 0 {
+		heap.Pop(&w.events).(event).fn()
+	}
+}
+
 // broken notes a broken rule.
 func (w *World) broken(rule, format string, args ...any) {
 	w.Rules = append(w.Rules, fmt.Sprintf("%s at %v: %s", rule, w.now, fmt.Sprintf(format, args...)))
--- a/internal/sim/zone_faults.go
+++ b/internal/sim/zone_faults.go
@@ -86,7 +86,10 @@
 // and nothing else.
 func (w *World) isolate(zone string, n *node, duration time.Duration) {
 	w.Log("%v zone %s is cut off with %s", w.now, zone, n.name)
-	w.faults.isolated = isolatedZone{zone, n}
+	w.faults.isolated = isolatedZone{zone: zone, node: n}
+	for _, h := range w.hosts {
+		w.faults.isolated.token = max(w.faults.isolated.token, h.token)
+	}
 	n.isolated = true
 	since := w.now
 	w.after(duration, func() {
--- a/server/server.go
+++ b/server/server.go
@@ -26,6 +26,7 @@
 	"pumicefront/controller"
 	"pumicefront/mesh"
 	"pumicefront/wire"
+	"pumicefront/zonetrace"
 )
 
 const (
@@ -40,6 +41,7 @@
 // Server runs one controller.
 type Server struct {
 	cfg    *config.Platform
+	op     config.Operator
 	core   *controller.Core
 	client *client.Client
 	mesh   *mesh.Mesh
@@ -48,6 +50,7 @@
 	nextID atomic.Uint64
 	open   atomic.Int64              // connections of users and workers
 	until  atomic.Pointer[time.Time] // the core's authority, as it was after its last step
+	zones  *zonetrace.Recorder       // nil: recoveries of zones are not traced
 }
 
 // How the sockets are shared: most for users and workers, some for calls of
@@ -94,6 +97,7 @@
 	conns := cfg.Facts.Resources.MaxConnections
 	s := &Server{
 		cfg:    cfg,
+		op:     op,
 		core:   controller.New(cfg, op, rng, time.Now()),
 		inputs: make(chan controller.Input, conns),
 		asked:  make(chan request, conns),
@@ -122,6 +126,11 @@
 	if err != nil {
 		return err
 	}
+	closeZones, err := s.startZones()
+	if err != nil {
+		return err
+	}
+	defer closeZones()
 	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10, ConnState: s.trackConnection}
 	failed := make(chan error, 1)
 	// Beyond the limit connections wait unaccepted, and the load balancer tries
@@ -202,6 +211,8 @@
 		go func() { s.inputs <- s.client.Worker(o) }()
 	case controller.MeshSend:
 		s.mesh.Send(o.To, o.Envelope)
+	case controller.ZoneChanged, controller.TaskDisplaced, controller.TaskRestarted, controller.ZoneRecovered, controller.RecoveriesHandedOver:
+		s.zones.Record(o)
 	case controller.Event:
 		slog.Log(context.Background(), o.Level, o.Text, o.Attrs...)
 	}
@@ -215,29 +226,34 @@
 		respond(w, controller.Answer{Status: status, Body: wire.Error{Error: http.StatusText(status)}})
 		return
 	}
+	a, ok := s.ask(id, in)
+	if !ok {
+		respond(w, overloaded())
+		return
+	}
+	if _, report := in.(controller.ReportRequest); report && s.nearConnectionLimit() {
+		// There may be more workers than sockets: none keeps one between reports.
+		w.Header().Set("Connection", "close")
+	}
+	respond(w, a)
+}
+
+// ask has the core answer a request. It has no answer where the core is overloaded or too slow.
+func (s *Server) ask(id uint64, in controller.Input) (controller.Answer, bool) {
 	reply := make(chan answer, 1)
 	select {
 	case s.asked <- request{id, in, time.Now(), reply}:
 	default:
-		respond(w, overloaded())
-		return
+		return controller.Answer{}, false
 	}
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
 	select {
 	case a := <-reply:
-		if time.Since(a.at) > answerLife {
-			// The process stood still, or is far behind: what was true then may not be now.
-			respond(w, overloaded())
-			return
-		}
-		if _, report := in.(controller.ReportRequest); report && s.nearConnectionLimit() {
-			// There may be more workers than sockets: none keeps one between reports.
-			w.Header().Set("Connection", "close")
-		}
-		respond(w, a.Answer)
+		// If the process stood still, or is far behind, what was true then may not be now.
+		return a.Answer, time.Since(a.at) <= answerLife
 	case <-timer.C:
-		respond(w, overloaded())
+		return controller.Answer{}, false
 	}
 }
 
--- a/zones/status.go
+++ b/zones/status.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// StatusPath is where the status endpoint of a controller tells of the zones.
+const StatusPath = "/zones"
+
 // Status is what the leader tells operators of all zones.
 type Status struct {
 	Member  string        `json:"member"`
--- /dev/null
+++ b/zonetrace/recorder.go
@@ -0,0 +1,161 @@
+// Package zonetrace records the recovery of zones as OpenTelemetry spans: one for each recovery,
+// from suspicion to the last restart, with one for each state of the zone and one for the restarts
+// of each class of jobs below it.
+package zonetrace
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"pumicefront/controller"
+	"pumicefront/zones"
+)
+
+// Names of spans and attributes.
+const (
+	spanRecovery = "zone recovery"
+	spanState    = "zone "
+	spanRestart  = "restart "
+
+	keyZone       = "zone"
+	keyMember     = "member"
+	keyResumed    = "resumed"     // begun under an earlier leader
+	keyHandedOver = "handed_over" // goes on under another leader
+	keyDisplaced  = "tasks_displaced"
+	keyRestarted  = "tasks_restarted"
+)
+
+// exportInterval is how long an ended span may wait to be written: a process may be killed at any
+// time, and what it has not written is lost.
+const exportInterval = time.Second
+
+// Recorder turns outputs of the core into spans. A nil one records nothing. It is used by one
+// goroutine; the exporter has its own, with a bounded queue.
+type Recorder struct {
+	provider   *sdktrace.TracerProvider
+	tracer     trace.Tracer
+	recoveries map[string]*recovery
+}
+
+// recovery is one that is under way.
+type recovery struct {
+	ctx     context.Context // holds the span that the others are below
+	span    trace.Span
+	state   trace.Span
+	classes map[string]*classRestarts
+}
+
+// classRestarts are the restarts of one class of jobs.
+type classRestarts struct {
+	span                 trace.Span
+	displaced, restarted int
+	last                 time.Time
+}
+
+// New returns a recorder that writes spans to w.
+func New(w io.Writer, member string) (*Recorder, error) {
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(w))
+	if err != nil {
+		return nil, fmt.Errorf("trace zones: %w", err)
+	}
+	return newRecorder(sdktrace.WithBatcher(exporter, sdktrace.WithBatchTimeout(exportInterval)), member), nil
+}
+
+func newRecorder(exporter sdktrace.TracerProviderOption, member string) *Recorder {
+	provider := sdktrace.NewTracerProvider(exporter, sdktrace.WithResource(resource.NewSchemaless(attribute.String(keyMember, member))))
+	return &Recorder{provider: provider, tracer: provider.Tracer("pumicefront/zonetrace"), recoveries: map[string]*recovery{}}
+}
+
+// Close exports what is left.
+func (r *Recorder) Close(ctx context.Context) error {
+	if r == nil {
+		return nil
+	}
+	if err := r.provider.Shutdown(ctx); err != nil {
+		return fmt.Errorf("trace zones: %w", err)
+	}
+	return nil
+}
+
+// Record takes an output of the core; those that are not about zones are ignored.
+func (r *Recorder) Record(o controller.Output) {
+	if r == nil {
+		return
+	}
+	switch o := o.(type) {
+	case controller.ZoneChanged:
+		r.changed(o)
+	case controller.TaskDisplaced:
+		r.class(o.Zone, o.Class, o.At).displaced++
+	case controller.TaskRestarted:
+		restarts := r.class(o.Zone, o.Class, o.Lost)
+		restarts.restarted++
+		restarts.last = o.At
+	case controller.ZoneRecovered:
+		r.finish(o.Zone, o.At)
+	case controller.RecoveriesHandedOver:
+		for zone, recovery := range r.recoveries {
+			recovery.span.SetAttributes(attribute.Bool(keyHandedOver, true))
+			r.finish(zone, o.At)
+		}
+	}
+}
+
+// recovery returns the recovery of a zone, begun if there is none.
+func (r *Recorder) recovery(zone string, at time.Time) *recovery {
+	found := r.recoveries[zone]
+	if found == nil {
+		ctx, span := r.tracer.Start(context.Background(), spanRecovery, trace.WithTimestamp(at), trace.WithAttributes(attribute.String(keyZone, zone)))
+		found = &recovery{ctx: ctx, span: span, classes: map[string]*classRestarts{}}
+		r.recoveries[zone] = found
+	}
+	return found
+}
+
+func (r *Recorder) changed(c controller.ZoneChanged) {
+	recovery := r.recovery(c.Zone, c.At)
+	if recovery.state == nil && c.From != zones.Healthy {
+		recovery.span.SetAttributes(attribute.Bool(keyResumed, true))
+	}
+	if recovery.state != nil {
+		recovery.state.End(trace.WithTimestamp(c.At))
+	}
+	_, recovery.state = r.tracer.Start(recovery.ctx, spanState+c.To.String(), trace.WithTimestamp(c.At))
+}
+
+// class returns the restarts of a class in the recovery of a zone.
+func (r *Recorder) class(zone, class string, at time.Time) *classRestarts {
+	recovery := r.recovery(zone, at)
+	restarts := recovery.classes[class]
+	if restarts == nil {
+		_, span := r.tracer.Start(recovery.ctx, spanRestart+class, trace.WithTimestamp(at))
+		restarts = &classRestarts{span: span, last: at}
+		recovery.classes[class] = restarts
+	}
+	return restarts
+}
+
+// finish ends the spans of a recovery.
+func (r *Recorder) finish(zone string, at time.Time) {
+	recovery := r.recoveries[zone]
+	if recovery == nil {
+		return
+	}
+	delete(r.recoveries, zone)
+	for _, restarts := range recovery.classes {
+		restarts.span.SetAttributes(attribute.Int(keyDisplaced, restarts.displaced), attribute.Int(keyRestarted, restarts.restarted))
+		restarts.span.End(trace.WithTimestamp(restarts.last))
+	}
+	if recovery.state != nil {
+		recovery.state.End(trace.WithTimestamp(at))
+	}
+	recovery.span.End(trace.WithTimestamp(at))
+}
--- /dev/null
+++ b/zoneview/view_test.go
@@ -0,0 +1,111 @@
+package zoneview
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	tea "github.com/charmbracelet/bubbletea"
+
+	"pumicefront/zones"
+)
+
+// endpoint stands in for a controller's status endpoint, and returns its address.
+func endpoint(t *testing.T, answer func(w http.ResponseWriter)) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != zones.StatusPath || r.Method != http.MethodGet {
+			t.Errorf("%s %s", r.Method, r.URL.Path)
+		}
+		answer(w)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func telling(t *testing.T, s zones.Status) string {
+	return endpoint(t, func(w http.ResponseWriter) {
+		if err := json.NewEncoder(w).Encode(s); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+var leading = zones.Status{Member: "n1", Leading: true,
+	Zones: []zones.ZoneStatus{
+		{Name: "east", State: zones.HeldDown, ForS: 3, Responsive: 5, Silent: 2, Losses: 1, HeldForS: 4, Window: 8, UnderWay: 3, Displaced: 12},
+		{Name: "west", ForS: 60, Responsive: 9},
+	},
+	Waiting: []zones.ClassStatus{{Class: "batch", Tasks: 9, TeamLimit: 1, Ramp: 5, Room: 3}},
+}
+
+func TestPrintAsksUntilALeaderAnswers(t *testing.T) {
+	follower := telling(t, zones.Status{Member: "n0", Leader: "n1"})
+	broken := endpoint(t, func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) })
+	odd := endpoint(t, func(w http.ResponseWriter) { _, _ = io.WriteString(w, "<html>") })
+	var out bytes.Buffer
+	if err := Print(context.Background(), &out, []string{broken, odd, follower, telling(t, leading)}); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{"east  held down  3 s", "4 s       3 of 8", "west  healthy", "batch  9        1           5     3"} {
+		if !strings.Contains(out.String(), line) {
+			t.Errorf("no %q in\n%s", line, out.String())
+		}
+	}
+	err := Print(context.Background(), &out, []string{follower, broken, odd})
+	if !errors.Is(err, ErrNoLeader) || !strings.Contains(err.Error(), `"n1"`) || !strings.Contains(err.Error(), "503") {
+		t.Errorf("without a leader: %v", err)
+	}
+}
+
+// Every wait ends: one who listens and says nothing is given up.
+func TestFetchGivesUp(t *testing.T) {
+	gone := make(chan struct{})
+	defer close(gone)
+	silent := endpoint(t, func(http.ResponseWriter) { <-gone })
+	began := time.Now()
+	if _, err := Fetch(context.Background(), []string{silent}); err == nil || time.Since(began) > 2*askTimeout {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
+
+func TestViewKeepsTheLastAnswer(t *testing.T) {
+	var m tea.Model = model{ctx: context.Background(), interval: time.Second}
+	if !strings.Contains(m.View(), "asking") {
+		t.Errorf("at first: %s", m.View())
+	}
+	m, _ = m.Update(fetched{status: leading})
+	m, next := m.Update(fetched{err: ErrNoLeader})
+	if view := m.View(); !strings.Contains(view, "east") || !strings.Contains(view, ErrNoLeader.Error()) || next == nil {
+		t.Errorf("after a failure: %s", view)
+	}
+	if _, end := m.Update(tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune("q")}); end == nil || end() != tea.Quit() {
+		t.Error("q does not end it")
+	}
+}
+
+func TestWatchShowsAndEnds(t *testing.T) {
+	keys, press := io.Pipe()
+	var out bytes.Buffer
+	address := telling(t, leading)
+	done := make(chan error)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go func() {
+		done <- Watch(ctx, []string{address}, 50*time.Millisecond, tea.WithInput(keys), tea.WithOutput(&out), tea.WithoutSignalHandler())
+	}()
+	time.Sleep(500 * time.Millisecond)
+	if _, err := press.Write([]byte("q")); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil || !strings.Contains(out.String(), "held down") {
+		t.Errorf("%v, shown: %q", err, out.String())
+	}
+}
