Zone recovery: tests for what three mutations survived

Need: removing the restart phases, the end of holding back, or the evidence of machines given up failed no test. Change: tests of the order and the limits in scheduler, and of the phase of a job, the longest holding back and given up machines in controller.

--- a/controller/zone_recovery_test.go
+++ b/controller/zone_recovery_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pumicefront/config"
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 	"pumicefront/zones"
 )
@@ -112,3 +113,76 @@
 		t.Errorf("%+v", calls)
 	}
 }
+
+// What a job is decides when it restarts; a batch whose aims are all missed, and that is overdue by
+// none, comes last.
+func TestRestartPhase(t *testing.T) {
+	c, l := recoveringLeader(t)
+	c.cfg.Facts.Objectives = []config.Objective{{Kind: "finished", Class: "a", WithinS: 100}}
+	for name, k := range map[string]struct {
+		kind, priority, class string
+		estimate, age         float64
+		want                  scheduler.RestartPhase
+	}{
+		"prod service":         {wire.KindService, "prod", "s", 0, 0, scheduler.RestartProdServices},
+		"other service":        {wire.KindService, "high", "s", 0, 0, scheduler.RestartServices},
+		"prod batch":           {wire.KindArray, "prod", "a", 10, 0, scheduler.RestartTimelyBatches},
+		"can still be in time": {wire.KindArray, "standard", "a", 60, 40, scheduler.RestartTimelyBatches},
+		"will be late":         {wire.KindArray, "standard", "a", 60, 41, scheduler.RestartRest},
+		"overdue":              {wire.KindArray, "standard", "a", 60, 101, scheduler.RestartTimelyBatches},
+		"without an aim":       {wire.KindArray, "standard", "b", 60, 0, scheduler.RestartRest},
+	} {
+		j := l.addJob("req-000500", &headerRecord{PerChunk: 10, AcceptedMS: c.now.Add(-config.Seconds(k.age)).UnixMilli(),
+			Job: wire.Job{ID: "req-000500", Kind: k.kind, Priority: k.priority, Class: k.class, Tasks: 1, CPUs: 1, EstimateS: k.estimate}})
+		if got := l.zones.restartPhase(j); got != k.want {
+			t.Errorf("%s: phase %d, want %d", name, got, k.want)
+		}
+	}
+}
+
+// Nobody waits for ever for a zone: after limitedWait a job's starts are not held back any more,
+// though it runs already and is old.
+func TestStartsAreHeldBackForAWhile(t *testing.T) {
+	c, l := recoveringLeader(t)
+	j := l.jobs["req-000001"]
+	j.begun = true
+	limited := func() bool {
+		ds := l.demands()
+		l.zones.limitStarts(ds)
+		return len(ds) == 1 && ds[0].Limits["a"] != nil
+	}
+	if !limited() {
+		t.Fatal("not limited at first")
+	}
+	c.now = c.now.Add(limitedWait - time.Second)
+	if !limited() {
+		t.Error("not limited any more too soon")
+	}
+	c.now = c.now.Add(time.Second)
+	if limited() {
+		t.Errorf("limited after %v", limitedWait)
+	}
+}
+
+// Machines that are given up speak for the fault of their zone for a while: otherwise it would be
+// forgotten with the last of them, and new ones be rented there.
+func TestGivenUpMachinesAreEvidence(t *testing.T) {
+	c, l := recoveringLeader(t)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		m := l.machine(id)
+		m.zone, m.up, m.reported = "b", true, c.now
+	}
+	l.release(l.machines["i-1"], releaseSilent)
+	l.release(l.machines["i-2"], releaseSilentSinceElection)
+	l.release(l.machines["i-3"], releaseIdle)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		l.forgetMachine(id)
+	}
+	if look := l.zones.health(); len(look) != 1 || look[0] != (zones.Health{Zone: "b", Silent: 2}) {
+		t.Errorf("%+v", look)
+	}
+	c.now = c.now.Add(time.Minute)
+	if look := l.zones.health(); len(look) != 0 {
+		t.Errorf("%+v a minute later", look)
+	}
+}
--- /dev/null
+++ b/scheduler/restart_test.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// While a zone's work restarts, services come before batches and, among each other, prod first;
+// batches by their phase, within guarantees. Age and guarantees keep their place.
+func TestRestartPhasesOrderDemands(t *testing.T) {
+	named := func(job string, service bool, phase RestartPhase) *Demand {
+		return &Demand{Job: job, Service: service, Rank: 2, Phase: phase, WithinGuarantee: true}
+	}
+	aged, borrowed := named("d-aged", false, RestartRest), named("g-borrowed", false, RestartTimelyBatches)
+	aged.Aged, aged.AgeS, borrowed.WithinGuarantee = true, 100, false
+	ds := []*Demand{named("f-rest", false, RestartRest), borrowed, named("b-service", true, RestartServices),
+		named("e-timely", false, RestartTimelyBatches), aged, named("a-prod", true, RestartProdServices)}
+	ds[5].Rank, ds[2].WorkS, ds[5].WorkS = 0, 1, 9
+	Order(ds)
+	var got []string
+	for _, d := range ds {
+		got = append(got, d.Job)
+	}
+	if want := []string{"a-prod", "b-service", "d-aged", "e-timely", "f-rest", "g-borrowed"}; !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
+// Whatever is placed, no zone gets more starts or fetches than its limit leaves, a lost zone only
+// what is bound to it, and what a gang gives back can be used by others.
+func TestStartLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := append(machines(rapid.IntRange(1, 6).Draw(t, "in a"), "a", 8), machines(3, "b", 8)...)
+		for _, m := range ms {
+			m.Images["img"] = rapid.Bool().Draw(t, "cached")
+		}
+		starts, fetches := rapid.IntRange(0, 9).Draw(t, "starts"), rapid.IntRange(0, 5).Draw(t, "fetches")
+		limit := &StartLimit{Starts: starts, Fetches: func(string) int { return fetches }, BoundOnly: rapid.Bool().Draw(t, "bound only")}
+		started, fetched := 0, 0
+		for range rapid.IntRange(1, 4).Draw(t, "demands") {
+			d := demand(rapid.IntRange(1, 8).Draw(t, "tasks"), float64(rapid.IntRange(1, 4).Draw(t, "each")))
+			d.Gang, d.OneZone = rapid.Bool().Draw(t, "gang"), rapid.Bool().Draw(t, "one zone")
+			d.Zone = rapid.SampledFrom([]string{"", "a"}).Draw(t, "zone")
+			d.Limits = map[string]*StartLimit{"a": limit}
+			bound := d.boundTo("a")
+			for _, p := range Place(ms, d) {
+				if p.Machine.Zone != "a" {
+					continue
+				}
+				if limit.BoundOnly && !bound {
+					t.Fatalf("%+v starts in a lost zone", d)
+				}
+				started++
+				fetched += flag(!p.Machine.Images["img"])
+			}
+		}
+		if started > starts || fetched > fetches || limit.Starts != starts-started {
+			t.Fatalf("%d of %d starts, %d of %d fetches; %d left", started, starts, fetched, fetches, limit.Starts)
+		}
+	})
+}
