--- a/controller/aims.go
+++ b/controller/aims.go
@@ -11,7 +11,7 @@
 
 // The deployment's objectives, as they bear on a job.
 
-// fetchMatters tells whether fetching the image alone would miss the class's
+// fetchMatters reports whether fetching the image alone would miss the class's
 // tightest aim on starting: then its image had better be in many places.
 func (l *leader) fetchMatters(j *wire.Job) bool {
 	return l.slowestFetch(j) > l.startAim(j)
--- a/controller/authority.go
+++ b/controller/authority.go
@@ -19,7 +19,7 @@
 	raiseForStoppedAfter = 4 * time.Second
 )
 
-// entitled tells whether this controller may act for the controllers now. It is
+// entitled reports whether this controller may act for the controllers now. It is
 // asked at every output of the leader.
 func (c *Core) entitled() bool {
 	return c.now.Before(c.Authority())
--- a/controller/chain_deadlines.go
+++ b/controller/chain_deadlines.go
@@ -23,7 +23,7 @@
 
 func (d deadline) at() time.Time { return d.from.Add(config.Seconds(d.within(1))) }
 
-// earlier tells whether d presses more than o.
+// earlier reports whether d presses more than o.
 func (d deadline) earlier(o deadline) bool {
 	return d.last != nil && (o.last == nil || d.at().Before(o.at()))
 }
--- a/controller/chains.go
+++ b/controller/chains.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// removeFromChains takes in that a header is gone.
+// removeFromChains handles the removal of a header.
 func (c *Core) removeFromChains(id string, h *headerRecord) {
 	c.chains.Drop(id)
 	l := c.lead
@@ -53,7 +53,7 @@
 	}
 }
 
-// jobEnded takes in the final record of a job.
+// jobEnded applies the final record of a job.
 func (c *Core) jobEnded(id string, f finalRecord) {
 	c.finals.add(id, f)
 	c.accumulateEnd(id, f)
@@ -88,19 +88,19 @@
 	}
 }
 
-// withdrawn tells whether an unfinished job is cancelled, itself or by one that it needs.
+// withdrawn reports whether an unfinished job is cancelled, itself or by one that it needs.
 func (c *Core) withdrawn(id string) bool {
 	h := c.control.headers[id]
 	return h != nil && (h.Cancelled || c.chains.Status(id) == reduction.Failed)
 }
 
-// blocked tells whether a job waits for others: it starts nothing, rents nothing, and takes
+// blocked reports whether a job waits for others: it starts nothing, rents nothing, and takes
 // no part of its team's guarantee.
 func (l *leader) blocked(j *job) bool {
 	return len(j.spec.Needs) > 0 && l.c.chains.Classify(j.id) == reduction.Waiting
 }
 
-// endUnknown tells whether this controller has neither the header nor the end of a job that
+// endUnknown reports whether this controller has neither the header nor the end of a job that
 // others need.
 func (c *Core) endUnknown(id string) bool {
 	return c.control.headers[id] == nil && c.chains.Status(id) == reduction.Pending
@@ -136,7 +136,7 @@
 	}
 }
 
-// becameReady takes in that a job is ready: its times count from the end of the last job
+// becameReady marks a job as ready: its times count from the end of the last job
 // that it needs, also for a leader that was not there.
 func (l *leader) becameReady(j *job) {
 	j.ready = j.accepted
--- a/controller/cloud_listing.go
+++ b/controller/cloud_listing.go
@@ -63,7 +63,7 @@
 	})
 }
 
-// unlisted takes in which machines a page leaves out. The list is late by up to
+// unlisted handles the machines that a page leaves out. The list is late by up to
 // twice its lag, and a machine stays listed until it is gone: one that was listed or
 // rented longer ago than that, and is not listed, is gone. Its silence would tell that
 // only after a report's time; and a new leader, who finds it in the record of a rental
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -38,7 +38,7 @@
 	return cs[:min(len(cs), most)]
 }
 
-// mayRun tells whether an attempt's run may be sent now. Never that of an earlier
+// mayRun reports whether an attempt's run may be sent now. Never that of an earlier
 // leader's attempt: that leader may have had proof that it was gone and have given its
 // room to others without living to write it down, so together the records may hold
 // more than a team's limit or a job's constraints allow. What does run of it is kept;
@@ -54,7 +54,7 @@
 	return wire.Command{Op: wire.OpRun, Task: a.taskID(), Attempt: a.number}
 }
 
-// forgettable tells whether a worker may forget an ended attempt: its outcome is
+// forgettable reports whether a worker may forget an ended attempt: its outcome is
 // recorded, and the worker refuses every copy of its run that may still be on
 // its way because it has seen a higher token.
 func (l *leader) forgettable(m *machine, k taskKey) bool {
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -54,7 +54,7 @@
 	l.wantPlacement()
 }
 
-// movable tells whether all that a machine runs is replicas that have settled, on
+// movable reports whether all that a machine runs is replicas that have settled, on
 // no more than half of it, and that a cheaper type would have done for. Where there is
 // none, what is free beside them is room for the next, and moving them only costs it,
 // unless a machine boots in time for the next.
@@ -73,14 +73,14 @@
 	return 2*used <= l.c.measure.Of(capOf(l.c.types[m.typ]))
 }
 
-// fitsCheaper tells whether a task could run on a type that costs less than a machine.
+// fitsCheaper reports whether a task could run on a type that costs less than a machine.
 func (l *leader) fitsCheaper(j *wire.Job, m *machine) bool {
 	return slices.ContainsFunc(l.typesFor(j), func(t wire.MachineType) bool {
 		return t.Price < l.c.types[m.typ].Price && capOf(t).Fits(jobEach(j)) > 0
 	})
 }
 
-// fitsElsewhere tells whether the others have room for what a machine runs, where its
+// fitsElsewhere reports whether the others have room for what a machine runs, where its
 // images are, and for all that room is kept for.
 func (l *leader) fitsElsewhere(m *machine) bool {
 	machines := slices.DeleteFunc(l.view(true), func(o *scheduler.Machine) bool { return o.ID == m.id })
--- a/controller/control.go
+++ b/controller/control.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// written takes in a change that this controller has made itself. The watch may
+// written applies a change that this controller has made itself. The watch may
 // have told of it, and of what came after it, before the reply arrived: then it
 // is old, and applying it would bring back a key that is gone.
 func (c *Core) written(e wire.Event) {
--- a/controller/demand_hints.go
+++ b/controller/demand_hints.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// noteDemandHint takes in, as leader, that a submission was rejected.
+// noteDemandHint notes, as leader, that a submission was rejected.
 func (c *Core) noteDemandHint(j *wire.Job) {
 	if c.lead != nil {
 		c.lead.demandHints[j.ID] = demandHint{j, c.now}
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -49,7 +49,7 @@
 	return ds
 }
 
-// delaysChain tells whether a lost task of a job delays others with a deadline, or uses up
+// delaysChain reports whether a lost task of a job delays others with a deadline, or uses up
 // what earlier ones have left of it.
 func (l *leader) delaysChain(j *job) bool {
 	return j.due.last != nil && (len(j.spec.Needs) > 0 || len(l.c.chains.Successors(j.id)) > 0)
--- a/controller/failure_detector.go
+++ b/controller/failure_detector.go
@@ -10,9 +10,6 @@
 // The failure detector: which machines are suspected, and whether the fault is on the machine, in
 // its zone's network or on our side.
 
-// allZones stands for all machines where something is kept by zone.
-const allZones = ""
-
 // failureScan is one look at all machines.
 type failureScan struct {
 	*leader
@@ -63,7 +60,7 @@
 	}
 }
 
-// failed tells whether a machine is given up: it has been silent for several leases, or it is
+// failed reports whether a machine is given up: it has been silent for several leases, or it is
 // suspected, the fault is not on the way to it, and its replicas have room elsewhere.
 func (s *failureScan) failed(m *machine) bool {
 	lease := config.Seconds(s.c.cfg.Facts.Workers.LeaseS)
@@ -78,13 +75,13 @@
 // leasesUntilFailed is how many leases a machine may be silent for whatever the network does.
 const leasesUntilFailed = 3
 
-// reachable tells whether nothing is wrong with the way to a zone, or to all machines. Just
+// reachable reports whether nothing is wrong with the way to a zone, or to all machines. Just
 // after a cut some machines are still to be heard, and others are back already.
 func (s *failureScan) reachable(zone string) bool {
 	return !s.unheard[zone] && s.c.now.Sub(s.partitionedAt[zone]) > s.suspectAfter()
 }
 
-// canMove tells whether what a machine runs has room elsewhere. The room is drawn once: what
+// canMove reports whether what a machine runs has room elsewhere. The room is drawn once: what
 // moves off one machine takes it from the next.
 func (s *failureScan) canMove(m *machine) bool {
 	if s.elsewhere == nil {
@@ -136,12 +133,12 @@
 	return config.Seconds(l.c.cfg.Facts.Workers.ReportS*1.25) + slack
 }
 
-// heartbeatOverdue tells whether a machine's report is overdue.
+// heartbeatOverdue reports whether a machine's report is overdue.
 func (l *leader) heartbeatOverdue(m *machine) bool {
 	return l.sinceHeartbeat(m) > l.reportDue(250*time.Millisecond)
 }
 
-// unresponsive tells whether a machine has not been heard of for too long to be given
+// unresponsive reports whether a machine has not been heard of for too long to be given
 // new work.
 func (l *leader) unresponsive(m *machine) bool {
 	return l.sinceHeartbeat(m) > l.reportDue(time.Second)
@@ -155,68 +152,7 @@
 	return l.since(m.unreachableSince)
 }
 
-// partitionedZones lists the zones of which most machines are silent, and allZones where a
-// quarter of all is: that speaks for a fault on the way to us, not on the
-// machines. They are left their leases, and come back with what they ran.
-func (l *leader) partitionedZones() map[string]bool {
-	all, silent := map[string]int{}, map[string]int{}
-	for _, m := range l.machines {
-		if !m.up {
-			continue
-		}
-		all[m.zone]++
-		all[allZones]++
-		if l.heartbeatOverdue(m) || !m.unansweredSince.IsZero() {
-			silent[m.zone]++
-			silent[allZones]++
-		}
-	}
-	cut := map[string]bool{allZones: silent[allZones] > max(1, all[allZones]/4)}
-	for zone, n := range silent {
-		if zone != allZones && len(all) > 2 {
-			cut[zone] = n > 1 && 2*n > all[zone]
-		}
-	}
-	for zone, is := range cut {
-		// A quarter of all may well have died or hang: they are waited for only where
-		// their zone is cut, or most do not answer.
-		if is && (zone != allZones || 2*silent[allZones] > all[allZones]) {
-			l.partitionedAt[zone] = l.c.now
-		}
-	}
-	return cut
-}
-
-// unheardZones lists the zones, and allZones for all machines, of which far too few have been
-// heard in the last moments. Where all fall silent at once, those that were due
-// first are suspected before a quarter of all is late: a leader that has just lost
-// its way to the workers would release them.
-func (l *leader) unheardZones() map[string]bool {
-	const (
-		part  = 4 // of the time between two reports
-		least = 2 // reports that must have been due
-	)
-	window := config.Seconds(l.c.cfg.Facts.Workers.ReportS / part)
-	all, heard := map[string]int{}, map[string]int{}
-	for _, m := range l.machines {
-		if !m.up {
-			continue
-		}
-		for _, zone := range [...]string{m.zone, allZones} {
-			all[zone]++
-			if l.c.now.Sub(m.reported) <= window {
-				heard[zone]++
-			}
-		}
-	}
-	unheard := map[string]bool{}
-	for zone, n := range all {
-		unheard[zone] = n >= least*part && 3*heard[zone] < n/part
-	}
-	return unheard
-}
-
-// mostMachinesReported tells whether most machines that an earlier leader placed work on
+// mostMachinesReported reports whether most machines that an earlier leader placed work on
 // have found us.
 func (l *leader) mostMachinesReported() bool {
 	missing, all := 0, 0
@@ -231,7 +167,7 @@
 	return missing <= max(1, all/2)
 }
 
-// overdueSinceElection tells whether a machine with work of an earlier leader should
+// overdueSinceElection reports whether a machine with work of an earlier leader should
 // have found us by now. One that didn't answer when it was asked is like any other
 // that has fallen silent; where nobody could ask, its worker may still be looking.
 func (l *leader) overdueSinceElection(m *machine) bool {
@@ -242,7 +178,7 @@
 	return len(m.attempts) > 0 && l.since(l.elected) > limit
 }
 
-// canMove tells whether what a machine runs has room elsewhere now. If not,
+// canMove reports whether what a machine runs has room elsewhere now. If not,
 // releasing it early gains nothing over waiting its lease out.
 func (l *leader) canMove(m *machine, machines []*scheduler.Machine) bool {
 	for _, a := range m.list {
--- a/controller/job.go
+++ b/controller/job.go
@@ -106,7 +106,7 @@
 	return j
 }
 
-// header takes in a change of a job's header.
+// header applies a change of a job's header.
 func (l *leader) header(id string, h *headerRecord) {
 	j := l.jobs[id]
 	switch {
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -95,5 +95,5 @@
 	return m
 }
 
-// faulty tells whether unlike jobs have failed on a machine and none has finished.
+// faulty reports whether unlike jobs have failed on a machine and none has finished.
 func faulty(m *machine) bool { return len(m.faults) >= 2 }
--- a/controller/machine_returns.go
+++ b/controller/machine_returns.go
@@ -77,7 +77,7 @@
 	l.c.log(slog.LevelInfo, "releasing machine", "machine", m.id, "why", why, "tasks", len(m.attempts))
 }
 
-// forgetMachine takes in that a machine and everything on it is gone.
+// forgetMachine removes a machine; everything on it is gone.
 func (l *leader) forgetMachine(id string) {
 	m := l.machines[id]
 	if m == nil {
--- /dev/null
+++ b/controller/partitions.go
@@ -0,0 +1,70 @@
+package controller
+
+import "pumicefront/config"
+
+// Faults of the network as the failure detector sees them: many machines that fall silent at once
+// speak for a fault on the way to them, not on the machines.
+
+// allZones stands for all machines where something is kept by zone.
+const allZones = ""
+
+// partitionedZones lists the zones of which most machines are silent, and allZones where a
+// quarter of all is: that speaks for a fault on the way to us, not on the
+// machines. They are left their leases, and come back with what they ran.
+func (l *leader) partitionedZones() map[string]bool {
+	all, silent := map[string]int{}, map[string]int{}
+	for _, m := range l.machines {
+		if !m.up {
+			continue
+		}
+		all[m.zone]++
+		all[allZones]++
+		if l.heartbeatOverdue(m) || !m.unansweredSince.IsZero() {
+			silent[m.zone]++
+			silent[allZones]++
+		}
+	}
+	cut := map[string]bool{allZones: silent[allZones] > max(1, all[allZones]/4)}
+	for zone, n := range silent {
+		if zone != allZones && len(all) > 2 {
+			cut[zone] = n > 1 && 2*n > all[zone]
+		}
+	}
+	for zone, is := range cut {
+		// A quarter of all may well have died or hang: they are waited for only where
+		// their zone is cut, or most do not answer.
+		if is && (zone != allZones || 2*silent[allZones] > all[allZones]) {
+			l.partitionedAt[zone] = l.c.now
+		}
+	}
+	return cut
+}
+
+// unheardZones lists the zones, and allZones for all machines, of which far too few have been
+// heard in the last moments. Where all fall silent at once, those that were due
+// first are suspected before a quarter of all is late: a leader that has just lost
+// its way to the workers would release them.
+func (l *leader) unheardZones() map[string]bool {
+	const (
+		part  = 4 // of the time between two reports
+		least = 2 // reports that must have been due
+	)
+	window := config.Seconds(l.c.cfg.Facts.Workers.ReportS / part)
+	all, heard := map[string]int{}, map[string]int{}
+	for _, m := range l.machines {
+		if !m.up {
+			continue
+		}
+		for _, zone := range [...]string{m.zone, allZones} {
+			all[zone]++
+			if l.c.now.Sub(m.reported) <= window {
+				heard[zone]++
+			}
+		}
+	}
+	unheard := map[string]bool{}
+	for zone, n := range all {
+		unheard[zone] = n >= least*part && 3*heard[zone] < n/part
+	}
+	return unheard
+}
--- a/controller/promises.go
+++ b/controller/promises.go
@@ -43,7 +43,7 @@
 	unknownCancellation bool      // somebody may have told users what no answer tells
 }
 
-// promiseBinds tells whether a promise forbids a claim. A process that has just
+// promiseBinds reports whether a promise forbids a claim. A process that has just
 // started doesn't know what the one before it promised, so it waits a promise's
 // life, unless nobody has ever led. A leader key that names this member is no
 // excuse: a claim of the earlier process may have been applied after it promised.
@@ -158,8 +158,8 @@
 	}
 }
 
-// noteCancelled takes in that another controller knows a job to be cancelled, which is
-// as durable as if we had read it. It tells whether the job is known here.
+// noteCancelled notes that another controller knows a job to be cancelled, which is
+// as durable as if we had read it. It reports whether the job is known here.
 func (c *Core) noteCancelled(id string) bool {
 	h := c.control.headers[id]
 	if h == nil {
@@ -173,7 +173,7 @@
 	return true
 }
 
-// stateServiceBack takes in that the state service answers the leader again.
+// stateServiceBack handles the return of the state service for the leader.
 func (l *leader) stateServiceBack() {
 	p := &l.c.promises
 	if p.onPromises {
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -86,7 +86,7 @@
 	return l.c.quotas[d.Team].limit.Add(used[d.Team], -1).Fits(d.Each)
 }
 
-// within tells whether a job fits into its team's guarantee together with the
+// within reports whether a job fits into its team's guarantee together with the
 // team's jobs that come before it, and adds it to those.
 func (l *leader) within(j *job, earlier map[string]scheduler.Resources) bool {
 	left := j.spec.Tasks - j.state.Count(reduction.Completed)
--- a/controller/records.go
+++ b/controller/records.go
@@ -106,7 +106,7 @@
 // headerRoom is what a header leaves of the largest value: a cancellation adds to it.
 const headerRoom = 64
 
-// fits tells whether a value, and as many characters more, is within the state service's
+// fits reports whether a value, and as many characters more, is within the state service's
 // limit, which counts the JSON form.
 func fits(raw []byte, more int, valueKB float64) bool {
 	return float64(wire.Size(raw)+more) <= valueKB*1024
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -61,7 +61,7 @@
 	c.after(relayTimeout, func() { c.relayAnswered(&mesh.RelayAnswer{Id: id}) })
 }
 
-// returnedSoon tells whether a worker was sent to the leader a short while ago, or
+// returnedSoon reports whether a worker was sent to the leader a short while ago, or
 // need not be sent because the leader is known to be cut off.
 func (c *Core) returnedSoon(machine string) bool {
 	s := c.relays.redirects[machine]
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -131,7 +131,7 @@
 	})
 }
 
-// accounted tells whether every machine of a request is up or released.
+// accounted reports whether every machine of a request is up or released.
 func (l *leader) accounted(h *rental) bool {
 	for _, id := range h.machines {
 		if m := l.machines[id]; m != nil && !m.up {
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -71,7 +71,7 @@
 	return cs
 }
 
-// mustNotRenew tells whether a machine's lease may not be renewed any more: the run of a
+// mustNotRenew reports whether a machine's lease may not be renewed any more: the run of a
 // task that was cancelled may still be on its way there, where no stop can forestall
 // it, and the time that a cancellation has would be over before the lease. A raised
 // token settles it, with the very answer that tells the worker of it, but can't be had
@@ -87,7 +87,7 @@
 	return false
 }
 
-// apply takes in what a worker says of its machine.
+// apply updates a machine by what its worker says of it.
 func (l *leader) apply(m *machine, rep *wire.Report) {
 	c := l.c
 	if m.up && !rep.Newer(m.session, m.seq) {
@@ -138,7 +138,7 @@
 	}
 }
 
-// applyTask takes in one line of a report.
+// applyTask applies one line of a report.
 func (l *leader) applyTask(m *machine, k taskKey, t wire.Task) {
 	id, n, ok := wire.SplitTask(t.ID)
 	a := m.attempts[k]
@@ -177,7 +177,7 @@
 	}
 }
 
-// attemptEnded takes in that an attempt has ended, which proves it gone.
+// attemptEnded handles the reported end of an attempt, which proves it gone.
 func (l *leader) attemptEnded(a *attempt, why string) {
 	j, m := a.job, a.machine
 	switch {
@@ -205,7 +205,7 @@
 	l.gone(a, reduction.Reset, proofReported(why))
 }
 
-// attemptMissing takes in that a report does not list an attempt. That proves it gone
+// attemptMissing handles an attempt that a report does not list. That proves it gone
 // only when no copy of its run can still arrive: the worker is in a newer
 // session, or has seen a token above all that the run was sent with.
 func (l *leader) attemptMissing(a *attempt) {
--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -10,7 +10,7 @@
 
 // The scheduler's view of the machines. A snapshot is kept until something changes its machine.
 
-// usable tells whether a machine may be given new work.
+// usable reports whether a machine may be given new work.
 func (l *leader) usable(m *machine) bool {
 	// Where commands to many get no answer, the fault is ours, and reports carry them.
 	hears := m.unansweredSince.IsZero() || l.partitioned[allZones]
@@ -64,7 +64,7 @@
 	return s
 }
 
-// overdue tells whether a booting machine is late, so that another should be
+// overdue reports whether a booting machine is late, so that another should be
 // rented in its place: a few never come up, and waiting for proof takes long.
 func (l *leader) overdue(m *machine, t wire.MachineType) bool {
 	return l.c.now.Sub(m.since) > config.Seconds(t.BootS*1.6)+2*time.Second
--- a/controller/user_requests.go
+++ b/controller/user_requests.go
@@ -133,7 +133,7 @@
 	})
 }
 
-// canRun tells whether a job could ever run.
+// canRun reports whether a job could ever run.
 func (c *Core) canRun(j *wire.Job) bool {
 	need := jobEach(j)
 	if j.Kind != wire.KindArray {
--- a/controller/versions.go
+++ b/controller/versions.go
@@ -40,7 +40,7 @@
 	})
 }
 
-// allRun tells whether every member runs the version or a later one, so that no process of
+// allRun reports whether every member runs the version or a later one, so that no process of
 // an earlier version can come back.
 func (c *Core) allRun(version int) bool {
 	least := c.control.members[c.cfg.Member]
--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -200,7 +200,7 @@
 	}
 }
 
-// sameFields tells whether two encoded records hold the same fields and values.
+// sameFields reports whether two encoded records hold the same fields and values.
 func sameFields(t *testing.T, read, written []byte) bool {
 	t.Helper()
 	var was, is any
--- a/controller/write_budget.go
+++ b/controller/write_budget.go
@@ -42,7 +42,7 @@
 	b.background.SetLimitAt(now, rate.Limit(changes*backgroundShare))
 }
 
-// allows tells whether the budget has so many changes left.
+// allows reports whether the budget has so many changes left.
 func (b *writeBudget) allows(now time.Time, changes int, urgent bool) bool {
 	has := func(l *rate.Limiter) bool { return l.TokensAt(now) >= float64(changes) }
 	return has(b.all) && (urgent || has(b.background))
@@ -64,5 +64,5 @@
 // burst is the most that is ever allowed at once.
 func (b *writeBudget) burst() int { return b.all.Burst() }
 
-// paused tells whether nothing is written for a moment.
+// paused reports whether nothing is written for a moment.
 func (b *writeBudget) paused(now time.Time) bool { return now.Before(b.pausedUntil) }
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -77,7 +77,7 @@
 	return due
 }
 
-// writeJob sends the write that is due for a job, and tells whether the budget had room
+// writeJob sends the write that is due for a job, and reports whether the budget had room
 // for it.
 func (l *leader) writeJob(j *job) bool {
 	if !l.budget.allows(l.c.now, 1, j.urgent) { // before anything is encoded in vain
@@ -208,7 +208,7 @@
 	}
 }
 
-// confirm takes in that a job's write was applied.
+// confirm handles the confirmation that a job's write was applied.
 func (l *leader) confirm(j *job, revision uint64) {
 	w := j.write
 	j.write = nil
--- a/controller/zone_recovery.go
+++ b/controller/zone_recovery.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// recovering tells whether any zone is not healthy, as far as that is looked at.
+// recovering reports whether any zone is not healthy, as far as that is looked at.
 func (z *zoneRecovery) recovering() bool { return z != nil && z.tracker.Recovering() }
 
 // run looks at the zones and keeps what has to outlive this leader.
@@ -72,7 +72,7 @@
 	z.finishRecoveries()
 }
 
-// observerTrusted tells whether silence says something of the machines: this controller leads by
+// observerTrusted reports whether silence says something of the machines: this controller leads by
 // a lease of the state service and has listened for as long as their reports may take. Workers take
 // longer to find a new leader.
 func (z *zoneRecovery) observerTrusted() bool {
@@ -132,7 +132,7 @@
 	}
 }
 
-// silence tells whether a machine is silent, and whether that can be known: of one that boots
+// silence reports whether a machine is silent, and whether that can be known: of one that boots
 // nothing is expected.
 func (z *zoneRecovery) silence(m *machine) (silent, known bool) {
 	switch {
@@ -144,7 +144,7 @@
 	return false, false
 }
 
-// changed takes in a change of a zone's state.
+// changed handles a change of a zone's state.
 func (z *zoneRecovery) changed(t zones.Transition) {
 	if t.To != zones.Healthy {
 		z.open[t.Zone] = true
@@ -267,7 +267,7 @@
 	}
 }
 
-// limitedZone tells whether the starts of a zone are limited: nothing is stopped to make room there.
+// limitedZone reports whether the starts of a zone are limited: nothing is stopped to make room there.
 func (z *zoneRecovery) limitedZone(name string) bool {
 	return z != nil && z.tracker.Admission(name).Limited
 }
@@ -305,20 +305,19 @@
 		return scheduler.RestartProdServices
 	case j.spec.Kind == wire.KindService:
 		return scheduler.RestartServices
-	case z.timely(j):
+	case z.hasFinishAim(j):
 		return scheduler.RestartTimelyBatches
 	}
 	return scheduler.RestartRest
 }
 
-// timely tells whether a batch is overdue by one of its aims on finishing, or can still meet one.
-func (l *leader) timely(j *job) bool {
-	for _, o := range l.c.cfg.Facts.Objectives {
-		if within, age, applies := l.finishAim(j, o); applies && (age > within || age+j.spec.EstimateS <= within) {
-			return true
-		}
-	}
-	return false
+// hasFinishAim reports whether a job is to finish by a time: then it is overdue, or will be, or can
+// still be in time.
+func (l *leader) hasFinishAim(j *job) bool {
+	return slices.ContainsFunc(l.c.cfg.Facts.Objectives, func(o config.Objective) bool {
+		_, _, applies := l.finishAim(j, o)
+		return applies
+	})
 }
 
 // startSeen counts a start that has succeeded.
@@ -350,7 +349,7 @@
 	}
 }
 
-// starting tells whether an attempt is a start under way.
+// starting reports whether an attempt is a start under way.
 func (a *attempt) starting() bool { return a.phase < attemptRunning }
 
 func (a *attempt) start() zones.Start {
--- a/internal/sim/coverage.go
+++ b/internal/sim/coverage.go
@@ -9,7 +9,7 @@
 	"pumicefront/wire"
 )
 
-// waitsToBegin tells whether nothing of an accepted job that nobody cancelled has run.
+// waitsToBegin reports whether nothing of an accepted job that nobody cancelled has run.
 func (j *simJob) waitsToBegin() bool { return j.accepted && !j.begun && !j.mayBeCancelled() }
 
 func (w *World) leaseTime() time.Duration {
@@ -21,7 +21,7 @@
 	return w.nodes[max(slices.IndexFunc(w.nodes, (*node).leads), 0)]
 }
 
-// leads tells whether a node believes now that it may act for all.
+// leads reports whether a node believes now that it may act for all.
 func (n *node) leads() bool { return n.core != nil && n.clock().Before(n.core.Authority()) }
 
 // The combinations, as runs note that they came about. A run of pairs is worth nothing if
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -222,24 +222,7 @@
 	next := time.Duration(w.cfg.Facts.Workers.ReportS * (0.75 + w.rng.Float64()/2) * float64(time.Second))
 	w.after(next, func() { h.do(h.report) })
 	w.after(4*time.Second, func() { h.do(func() { h.failed(number) }) })
-	copyTo := func(x *node) func() {
-		late := rep
-		return func() {
-			if !x.down() {
-				h.tamper(true, &late)
-				w.noteOldReport(h, x, &late)
-				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: late} }, func(controller.Answer) {})
-			}
-		}
-	}
-	if w.byChance(0.02) || w.chance(w.faults.duplicateReports) { // a copy, from seconds to well over a lease later
-		w.after(w.between(2*time.Second, 25*time.Second), copyTo(w.nodes[w.rng.IntN(len(w.nodes))]))
-	}
-	if w.chance(w.faults.keepReports) { // kept until another leads, then for every node
-		for _, x := range w.nodes {
-			w.keptReports = append(w.keptReports, copyTo(x))
-		}
-	}
+	h.copyReport(rep)
 	if h.sendsNothing {
 		w.after(time.Second, func() { h.do(func() { h.failed(number) }) })
 		return
@@ -263,6 +246,29 @@
 	})
 }
 
+// copyReport draws whether a copy of a report arrives again.
+func (h *host) copyReport(rep wire.Report) {
+	w := h.w
+	copyTo := func(x *node) func() {
+		late := rep
+		return func() {
+			if !x.down() {
+				h.tamper(true, &late)
+				w.noteOldReport(h, x, &late)
+				x.ask(func(req uint64) controller.Input { return controller.ReportRequest{Req: req, Report: late} }, func(controller.Answer) {})
+			}
+		}
+	}
+	if w.byChance(0.02) || w.chance(w.faults.duplicateReports) { // from seconds to well over a lease later
+		w.after(w.between(2*time.Second, 25*time.Second), copyTo(w.nodes[w.rng.IntN(len(w.nodes))]))
+	}
+	if w.chance(w.faults.keepReports) { // kept until another leads, then for every node
+		for _, x := range w.nodes {
+			w.keptReports = append(w.keptReports, copyTo(x))
+		}
+	}
+}
+
 func (h *host) askReport(n *node, rep wire.Report, number int, sent time.Duration) {
 	w := h.w
 	h.tamper(false, &rep)
@@ -405,7 +411,7 @@
 	h.later(t, fetch, func() { h.start(t, j) })
 }
 
-// fetches tells whether the machine fetches an image.
+// fetches reports whether the machine fetches an image.
 func (h *host) fetches() bool {
 	return slices.ContainsFunc(h.tasks, func(t *task) bool {
 		return t.state == wire.TaskFetching && t.job != nil && !h.images[t.job.spec.Image]
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -221,7 +221,7 @@
 	respondLive(w, reply.Status, bodies[call.Op])
 }
 
-// holdsBack tells whether direct commands can't reach a machine because a zone is cut off. Their
+// holdsBack reports whether direct commands can't reach a machine because a zone is cut off. Their
 // token tells which side they come from: whoever leads outside was elected later.
 func (i isolatedZone) holdsBack(token uint64, h *host) bool {
 	return i.node != nil && (token <= i.token) != (i.zone == h.zone)
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -34,7 +34,7 @@
 	live           *liveNode // a real controller; nil: a core in virtual time
 }
 
-// down tells whether the process does not run.
+// down reports whether the process does not run.
 func (n *node) down() bool { return n.core == nil && n.live == nil }
 
 func (n *node) clock() time.Time {
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -135,7 +135,7 @@
 	look()
 }
 
-// waitsBesideRoom tells whether a task of a job that may go anywhere in its zone and on
+// waitsBesideRoom reports whether a task of a job that may go anywhere in its zone and on
 // its types is on no machine while one has room for it.
 func (w *World) waitsBesideRoom(j *simJob) bool {
 	if !j.accepted || j.mayBeCancelled() || j.waits() || j.spec.OneZone || j.spec.Spread || j.left() == 0 && j.spec.Kind == wire.KindArray {
@@ -170,7 +170,7 @@
 	return room && there < left && within(cores, team.CPUsMax) && within(gpus, team.GPUsMax)
 }
 
-// waits tells whether a job that this one needs isn't called done yet.
+// waits reports whether a job that this one needs isn't called done yet.
 func (j *simJob) waits() bool {
 	return slices.ContainsFunc(j.needs, func(p *simJob) bool { return !p.doneTold })
 }
--- a/internal/sim/user_checks.go
+++ b/internal/sim/user_checks.go
@@ -17,7 +17,7 @@
 	return told{j.doneTold, j.cancelTold, off && w.now > at+w.cancelTime(), w.now}
 }
 
-// neededCancelled tells whether and since when the user of a job before this one has been
+// neededCancelled reports whether and since when the user of a job before this one has been
 // told that it is cancelled.
 func (j *simJob) neededCancelled() (at time.Duration, off bool) {
 	for _, p := range j.needs {
@@ -32,7 +32,7 @@
 	return at, off
 }
 
-// mayBeCancelled tells whether a job may be cancelled: somebody has asked for it, or for one before
+// mayBeCancelled reports whether a job may be cancelled: somebody has asked for it, or for one before
 // it, and has not been told that it is done.
 func (j *simJob) mayBeCancelled() bool {
 	return !j.doneTold && (j.askedCancel || slices.ContainsFunc(j.needs, (*simJob).mayBeCancelled))
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -93,7 +93,7 @@
 	token uint64 // the highest that any machine had seen before
 }
 
-// parts tells whether a node and a machine can't reach each other for it.
+// parts reports whether a node and a machine can't reach each other for it.
 func (i isolatedZone) parts(n *node, h *host) bool {
 	return i.node != nil && (i.node == n) != (i.zone == h.zone)
 }
--- a/reduction/dynamic.go
+++ b/reduction/dynamic.go
@@ -95,7 +95,7 @@
 	return Pending
 }
 
-// Classify tells whether a node can be released, waits for its predecessors or is settled.
+// Classify reports whether a node can be released, waits for its predecessors or is settled.
 func (g *DynamicGraph) Classify(id string) Verdict {
 	switch n := g.nodes[id]; {
 	case n == nil || n.status == Pending && n.open == 0:
@@ -114,7 +114,7 @@
 	return nil
 }
 
-// Drop takes in that a node is over and needs its predecessors no more. Its status
+// Drop marks a node as over: it needs its predecessors no more. Its status
 // stays for as long as something needs it.
 func (g *DynamicGraph) Drop(id string) {
 	n := g.nodes[id]
--- a/reduction/reduction_test.go
+++ b/reduction/reduction_test.go
@@ -46,7 +46,7 @@
 	return rapid.SampledFrom([]Outcome{Succeeded, Skip, Failure, Cancelled, Reset}).Draw(t, "outcome")
 }
 
-// reaches tells whether b can be reached from a.
+// reaches reports whether b can be reached from a.
 func reaches(edges [][2]int, a, b int) bool {
 	for _, e := range edges {
 		if e[0] == a && (e[1] == b || reaches(edges, e[1], b)) {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -35,12 +35,12 @@
 	Limits           map[string]*StartLimit // by zone; none: anything may start there
 }
 
-// Allows tells whether the demand's fixed constraints accept a machine.
+// Allows reports whether the demand's fixed constraints accept a machine.
 func (d *Demand) Allows(typ, zone string, spot bool) bool {
 	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) && (d.Spot || !spot)
 }
 
-// takes tells whether the demand may go to a machine now.
+// takes reports whether the demand may go to a machine now.
 func (d *Demand) takes(m *Machine) bool {
 	return d.Allows(m.Type, m.Zone, m.Spot) && !d.Avoid[m.ID] && (!d.CachedOnly || m.Images[d.Image])
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -121,7 +121,7 @@
 	return n
 }
 
-// suitsOthers tells whether a machine of that size takes tasks of other classes.
+// suitsOthers reports whether a machine of that size takes tasks of other classes.
 func (d *Demand) suitsOthers(size Resources) bool {
 	return slices.ContainsFunc(d.OtherClasses, func(o Resources) bool { return size.Fits(o) > 0 })
 }
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -47,7 +47,7 @@
 // may be stopped to give others theirs.
 type Excess map[string]Resources
 
-// covers tells whether a team would still have its guarantee, in each resource that
+// covers reports whether a team would still have its guarantee, in each resource that
 // the task takes, once it is stopped and the chosen ones with it.
 func (e Excess) covers(chosen []Victim, t *Terms) bool {
 	left := e[t.Team]
--- a/scheduler/restart.go
+++ b/scheduler/restart.go
@@ -10,7 +10,7 @@
 const (
 	RestartProdServices  RestartPhase = iota // users wait for them
 	RestartServices                          // other services
-	RestartTimelyBatches                     // batches that are overdue or can still be in time
+	RestartTimelyBatches                     // batches that are to finish by a time, overdue or not
 	RestartRest
 )
 
@@ -27,12 +27,12 @@
 	fetched map[string]int // starts on machines without the image, in this round
 }
 
-// boundTo tells whether a demand can go nowhere but to a zone.
+// boundTo reports whether a demand can go nowhere but to a zone.
 func (d *Demand) boundTo(zone string) bool {
 	return d.Zone == zone || d.OneZone && d.InZone[zone] > 0
 }
 
-// limitedTo tells whether a demand can go nowhere but to a zone whose starts are limited: it comes
+// limitedTo reports whether a demand can go nowhere but to a zone whose starts are limited: it comes
 // first there.
 func (d *Demand) limitedTo() bool {
 	for zone := range d.Limits {
@@ -51,7 +51,7 @@
 	return max(l.Starts, 0)
 }
 
-// allows tells whether a task may start on a machine of the zone.
+// allows reports whether a task may start on a machine of the zone.
 func (l *StartLimit) allows(d *Demand, m *Machine) bool {
 	return l.room(d) > 0 && (m.Images[d.Image] || l.fetched[d.Image] < l.Fetches(d.Image))
 }
@@ -68,7 +68,7 @@
 	l.fetched[d.Image] += starts
 }
 
-// mayStart tells whether the limit of a machine's zone, if it has one, allows a start.
+// mayStart reports whether the limit of a machine's zone, if it has one, allows a start.
 func (d *Demand) mayStart(m *Machine) bool {
 	limit := d.Limits[m.Zone]
 	if limit == nil || limit.allows(d, m) {
--- a/server/server.go
+++ b/server/server.go
@@ -83,7 +83,7 @@
 	at time.Time
 }
 
-// entitled tells whether the core may act for the controllers now.
+// entitled reports whether the core may act for the controllers now.
 func (s *Server) entitled() bool {
 	until := s.until.Load()
 	return until != nil && time.Now().Before(*until)
--- a/wire/submit.go
+++ b/wire/submit.go
@@ -14,7 +14,7 @@
 
 var idForm = regexp.MustCompile(`^req-[0-9]{1,18}$`)
 
-// ValidID tells whether id has the form of a job's id.
+// ValidID reports whether id has the form of a job's id.
 func ValidID(id string) bool { return idForm.MatchString(id) }
 
 // TaskID names task n of a job.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -125,7 +125,7 @@
 	Tasks   []Task   `cbor:"pieces"`
 }
 
-// Newer tells whether r was made after the message with session and seq.
+// Newer reports whether r was made after the message with session and seq.
 func (r *Report) Newer(session, seq uint64) bool {
 	return r.Session > session || r.Session == session && r.Seq > seq
 }
--- a/zones/record.go
+++ b/zones/record.go
@@ -37,7 +37,7 @@
 	return r, true
 }
 
-// Worth tells whether a record differs enough from the one that is kept to be written.
+// Worth reports whether a record differs enough from the one that is kept to be written.
 func (r Record) Worth(kept Record) bool {
 	return r.State != kept.State || r.Window >= 2*kept.Window && r.Window > 0 || r.Penalty > kept.Penalty+leastPenalty
 }
--- a/zones/state.go
+++ b/zones/state.go
@@ -44,12 +44,12 @@
 	Silent     int // machines whose reports are overdue
 }
 
-// mostSilent tells whether the zone's machines speak for a fault of the zone: one silent machine
+// mostSilent reports whether the zone's machines speak for a fault of the zone: one silent machine
 // may have failed by itself.
 func (h Health) mostSilent() bool { return h.Silent > 1 && h.Silent > h.Responsive }
 
-// mostResponsive tells whether the zone's machines speak for its being well.
+// mostResponsive reports whether the zone's machines speak for its being well.
 func (h Health) mostResponsive() bool { return h.Responsive > h.Silent }
 
-// empty tells whether no machine speaks for or against the zone.
+// empty reports whether no machine speaks for or against the zone.
 func (h Health) empty() bool { return h.Responsive+h.Silent == 0 }
--- a/zones/tracker.go
+++ b/zones/tracker.go
@@ -60,7 +60,7 @@
 	return Healthy
 }
 
-// Recovering tells whether any zone is not healthy.
+// Recovering reports whether any zone is not healthy.
 func (t *Tracker) Recovering() bool {
 	for _, z := range t.zones {
 		if z.state != Healthy {
@@ -144,7 +144,7 @@
 	return now.Sub(z.silentAt)
 }
 
-// isBack tells whether a lost zone may hold work again: most of it answers, or none of its machines
+// isBack reports whether a lost zone may hold work again: most of it answers, or none of its machines
 // is left that could. In the second case only new machines can tell, so some must be tried.
 func (t *Tracker) isBack(now time.Time, z *zone, h Health) bool {
 	return h.mostResponsive() || h.empty() && now.Sub(z.since) >= t.holdDown(z)
--- a/zones/window.go
+++ b/zones/window.go
@@ -21,7 +21,7 @@
 	z.fetches = map[string]*window{}
 }
 
-// limited tells whether a zone's starts are limited.
+// limited reports whether a zone's starts are limited.
 func (z *zone) limited() bool { return z.state == Lost || z.state == HeldDown || z.state == Returning }
 
 // Start is a start of a task in a zone.
--- a/zoneview/view.go
+++ b/zoneview/view.go
@@ -59,7 +59,7 @@
 	return fetched{status, err}
 }
 
-// Update takes in keys and answers.
+// Update handles keys and answers.
 func (m model) Update(msg tea.Msg) (tea.Model, tea.Cmd) {
 	switch msg := msg.(type) {
 	case tea.KeyMsg:
