Zone recovery: headroom restarts last, and types may bind a job to a zone

Need: headroom and submissions not accepted yet were ordered like prod services while a zone recovered, before batches that wait; a job whose machine types are in one zone only was held back from it like others. Change: demands without a job are of the last phase; the one zone that has a job's types counts as its own. Result: TestBoundByMachineTypes.

--- a/controller/zone_recovery.go
+++ b/controller/zone_recovery.go
@@ -167,7 +167,7 @@
 	z.noteWaiting(demands)
 	for _, d := range demands {
 		j := z.jobs[d.Job]
-		d.Phase = z.restartPhase(j)
+		z.prepare(d, &j.spec)
 		if z.waited(d, j) < limitedWait {
 			d.Limits = z.limits
 		}
@@ -189,9 +189,30 @@
 	for _, d := range demands {
 		d.Limits = closed
 		if j := z.jobs[d.Job]; j != nil {
-			d.Phase = z.restartPhase(j)
+			z.prepare(d, &j.spec)
+		} else {
+			d.Phase = scheduler.RestartRest // headroom, or not accepted yet
+		}
+	}
+}
+
+// prepare tells the scheduler what of a job matters while zones recover.
+func (z *zoneRecovery) prepare(d *scheduler.Demand, spec *wire.Job) {
+	d.Phase, d.OnlyZone = z.restartPhase(z.jobs[d.Job]), z.onlyZone(spec)
+}
+
+// onlyZone is the zone that has all machine types that a job may use, if there is just one.
+func (l *leader) onlyZone(spec *wire.Job) string {
+	only := ""
+	for _, t := range l.typesFor(spec) {
+		for _, zone := range t.Zones {
+			if only != "" && only != zone {
+				return ""
+			}
+			only = zone
 		}
 	}
+	return only
 }
 
 func unlimitedFetches(string) int { return int(^uint(0) >> 1) }
--- a/controller/zone_recovery_test.go
+++ b/controller/zone_recovery_test.go
@@ -186,3 +186,21 @@
 		t.Errorf("%+v a minute later", look)
 	}
 }
+
+// A job may be bound to a zone by its machine types alone; and what is rented ahead never goes before
+// jobs that wait.
+func TestBoundByMachineTypes(t *testing.T) {
+	c, l := recoveringLeader(t)
+	c.setTypes([]wire.MachineType{{Name: "small", Zones: []string{"a", "b"}}, {Name: "rare", Zones: []string{"a"}}})
+	j := l.jobs["req-000001"]
+	ahead := c.demandOf(&j.spec)
+	ahead.Job = "headroom/x"
+	for types, want := range map[string]string{"small": "", "rare": "a"} {
+		j.spec.Types = []string{types}
+		d := c.demandOf(&j.spec)
+		l.zones.closeZones([]*scheduler.Demand{d, ahead})
+		if d.OnlyZone != want || ahead.Phase != scheduler.RestartRest || d.Limits["a"] == nil {
+			t.Errorf("%s: %+v, headroom in phase %d", types, d, ahead.Phase)
+		}
+	}
+}
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -32,6 +32,7 @@
 	RoomInTeam       int            // tasks that the team's limit still allows
 	Avoid            map[string]bool
 	Phase            RestartPhase           // while work of a failed zone restarts
+	OnlyZone         string                 // the only one that has machines for it, as far as that was asked
 	Limits           map[string]*StartLimit // by zone; none: anything may start there
 }
 
--- a/scheduler/restart.go
+++ b/scheduler/restart.go
@@ -29,7 +29,7 @@
 
 // boundTo reports whether a demand can go nowhere but to a zone.
 func (d *Demand) boundTo(zone string) bool {
-	return d.Zone == zone || d.OneZone && d.InZone[zone] > 0
+	return d.Zone == zone || d.OnlyZone == zone || d.OneZone && d.InZone[zone] > 0
 }
 
 // limitedTo reports whether a demand can go nowhere but to a zone whose starts are limited: it comes
