--- a/controller/authority.go
+++ b/controller/authority.go
@@ -46,16 +46,6 @@
 	return c.lead.authority
 }
 
-// extend counts the authority from before the renewal was sent, less what the
-// clocks may drift apart.
-func (l *leader) extend(sent time.Time) {
-	life := l.c.op.LeaderLifetime()
-	until := sent.Add(life - time.Duration(float64(life)*clockDrift) - authorityMargin)
-	if until.After(l.authority) {
-		l.authority, l.renewed = until, sent
-	}
-}
-
 func (l *leader) renewLater() {
 	every := min(l.c.op.LeaderLifetime(), l.c.cancellationWindow()) / 4
 	l.c.after(every, func() {
@@ -79,7 +69,7 @@
 		}
 		switch r.Status {
 		case http.StatusOK:
-			l.extend(sent)
+			l.extend(sent, c.op.LeaderLifetime())
 			l.stateServiceBack()
 		case http.StatusNotFound:
 			c.stepDown("lease ended")
@@ -87,15 +77,10 @@
 	})
 }
 
-// leadershipCondition is the condition that this controller still leads.
-func (l *leader) leadershipCondition() wire.Cond {
-	return wire.Cond{Key: leaderKey, Version: l.version}
-}
-
 // raiseToken fences all commands sent so far: once a worker has seen the new
 // token, no earlier copy of a command can run there any more.
 func (l *leader) raiseToken(why string) {
-	if l.raisingToken || l.c.now.Sub(l.tokenRaisedAt) < raisePause {
+	if !l.mayRaiseToken(l.c.now) {
 		return
 	}
 	l.raisingToken = true
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -163,7 +163,7 @@
 	}
 	// What was lost on a way that was cut says nothing of the machine, and the first
 	// command after that may be lost too.
-	if m.unreachableSince.IsZero() || m.unreachableSince.Before(l.partitionedAt[m.zone]) || m.unreachableSince.Before(l.partitionedAt[allZones]) {
+	if m.unreachableSince.IsZero() || m.unreachableSince.Before(l.partitions.lastSeen[m.zone]) || m.unreachableSince.Before(l.partitions.lastSeen[allZones]) {
 		m.unreachableSince = sent
 	}
 	pause := min(max(l.c.now.Sub(m.unansweredSince)/4, tickEvery), leadCallTimeout)
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
@@ -23,7 +22,7 @@
 // them have room on machines that are in use anyway and have their images, and
 // nothing else has use for the machine. A move costs its user a fraction of a second.
 func (l *leader) consolidate() {
-	troubled := l.zones.recovering() || slices.Contains(slices.Collect(maps.Values(l.partitioned)), true)
+	troubled := l.zones.recovering() || l.partitions.any()
 	if l.c.now.Sub(l.consolidatedAt) < consolidateEvery || troubled || !l.c.now.Before(l.authority) {
 		return
 	}
--- a/controller/election.go
+++ b/controller/election.go
@@ -81,16 +81,16 @@
 
 func (c *Core) becomeLeader(sent time.Time, lease, token, version uint64) {
 	l := &leader{
-		c: c, token: token, electedToken: token, version: version, lease: lease, elected: c.now,
+		c: c, term: newTerm(c.now, lease, token, version),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, released: map[string]time.Time{},
 		budget:   newWriteBudget(writeBurst(c.cfg.Facts.State)),
-		probedAt: map[string]time.Time{}, progressTold: map[string]jobCount{}, demandHints: map[string]demandHint{}, tokenRaisedAt: c.now, partitionedAt: map[string]time.Time{},
+		probedAt: map[string]time.Time{}, progressTold: map[string]jobCount{}, demandHints: map[string]demandHint{}, partitions: partitions{lastSeen: map[string]time.Time{}},
 	}
 	l.budget.setRate(c.now, c.writeRate())
 	l.fleet.init()
 	l.zones = newZoneRecovery(l)
 	c.lead = l
-	l.extend(sent)
+	l.extend(sent, c.op.LeaderLifetime())
 	c.log(slog.LevelInfo, "leading", "token", token)
 	l.renewLater()
 	l.readRecords()
--- a/controller/failure_detector.go
+++ b/controller/failure_detector.go
@@ -78,7 +78,7 @@
 // reachable reports whether nothing is wrong with the way to a zone, or to all machines. Just
 // after a cut some machines are still to be heard, and others are back already.
 func (s *failureScan) reachable(zone string) bool {
-	return !s.unheard[zone] && s.c.now.Sub(s.partitionedAt[zone]) > s.suspectAfter()
+	return !s.unheard[zone] && s.c.now.Sub(s.partitions.lastSeen[zone]) > s.suspectAfter()
 }
 
 // canMove reports whether what a machine runs has room elsewhere. The room is drawn once: what
@@ -103,27 +103,8 @@
 	return machines
 }
 
-// listenGap is how long a leader that listens may go without a look at its machines:
-// there is a tick several times as often.
-const listenGap = time.Second
-
-// noteListening notes since when this leader has heard its machines without a pause. A
-// process that stood still while its clocks ran on, or had no authority to answer,
-// finds all of them silent at once; that says nothing of them.
-func (l *leader) noteListening() {
-	if l.c.now.Sub(l.listened) > listenGap {
-		l.listening = l.c.now
-	}
-	l.listened = l.c.now
-}
-
 // since is how much of the time since then we have listened for.
-func (l *leader) since(then time.Time) time.Duration {
-	if then.Before(l.listening) {
-		then = l.listening
-	}
-	return l.c.now.Sub(then)
-}
+func (l *leader) since(then time.Time) time.Duration { return l.listening.elapsed(l.c.now, then) }
 
 // sinceHeartbeat is how long a machine has not been heard of.
 func (l *leader) sinceHeartbeat(m *machine) time.Duration { return l.since(m.reported) }
@@ -211,7 +192,7 @@
 func (l *leader) replacements() []*scheduler.Demand {
 	var ds []*scheduler.Demand
 	for _, m := range l.fleetOrder {
-		suspected := max(l.sinceHeartbeat(m), l.unreachableFor(m)) > l.suspectAfter() || l.partitioned[m.zone] && l.unresponsive(m)
+		suspected := max(l.sinceHeartbeat(m), l.unreachableFor(m)) > l.suspectAfter() || l.partitions.active[m.zone] && l.unresponsive(m)
 		if !m.up || m.leaseOut || !suspected {
 			continue
 		}
--- a/controller/failure_detector_test.go
+++ b/controller/failure_detector_test.go
@@ -39,7 +39,7 @@
 	}
 	call(0)
 	l.apply(m, report(m, 7))
-	l.partitioned = l.partitionedZones()
+	l.partitions.observe(l.c.now, l.countSilent())
 	if l.usable(m) {
 		t.Fatal("new work for a machine that hears nothing")
 	}
@@ -155,9 +155,9 @@
 			a.phase = attemptRunning
 			ms = append(ms, m)
 		}
-		l.listening, l.listened = c.now, c.now
+		l.listening = listeningPeriod{began: c.now, lastLook: c.now}
 		c.now = c.now.Add(l.suspectAfter() + time.Second)
-		l.authority, l.listened = c.now.Add(time.Second), c.now
+		l.authority, l.listening.lastLook = c.now.Add(time.Second), c.now
 		for _, m := range ms[1:] {
 			l.apply(m, &wire.Report{Machine: m.id, Type: "t", Zone: "a", Session: 1, Seq: 2, Token: 7,
 				Tasks: []wire.Task{{ID: m.list[0].taskID(), Attempt: 1, State: wire.TaskRunning}}})
--- a/controller/partitions.go
+++ b/controller/partitions.go
@@ -1,6 +1,12 @@
 package controller
 
-import "pumicefront/config"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pumicefront/config"
+)
 
 // Faults of the network as the failure detector sees them: many machines that fall silent at once
 // speak for a fault on the way to them, not on the machines.
@@ -8,36 +14,53 @@
 // allZones stands for all machines where something is kept by zone.
 const allZones = ""
 
-// partitionedZones lists the zones of which most machines are silent, and allZones where a
-// quarter of all is: that speaks for a fault on the way to us, not on the
-// machines. They are left their leases, and come back with what they ran.
-func (l *leader) partitionedZones() map[string]bool {
-	all, silent := map[string]int{}, map[string]int{}
+// partitions are the faults of the network that a leader sees, by zone.
+type partitions struct {
+	active   map[string]bool      // now
+	lastSeen map[string]time.Time // when each was seen last
+}
+
+// any reports whether there is one.
+func (p *partitions) any() bool { return slices.Contains(slices.Collect(maps.Values(p.active)), true) }
+
+// silentMachines counts machines by zone, and all of them under allZones.
+type silentMachines struct{ all, silent map[string]int }
+
+// countSilent counts the machines that are overdue or don't answer.
+func (l *leader) countSilent() silentMachines {
+	count := silentMachines{map[string]int{}, map[string]int{}}
 	for _, m := range l.machines {
 		if !m.up {
 			continue
 		}
-		all[m.zone]++
-		all[allZones]++
+		count.all[m.zone]++
+		count.all[allZones]++
 		if l.heartbeatOverdue(m) || !m.unansweredSince.IsZero() {
-			silent[m.zone]++
-			silent[allZones]++
+			count.silent[m.zone]++
+			count.silent[allZones]++
 		}
 	}
-	cut := map[string]bool{allZones: silent[allZones] > max(1, all[allZones]/4)}
+	return count
+}
+
+// observe finds the zones of which most machines are silent, and allZones where a
+// quarter of all is: that speaks for a fault on the way to us, not on the
+// machines. They are left their leases, and come back with what they ran.
+func (p *partitions) observe(now time.Time, count silentMachines) {
+	all, silent := count.all, count.silent
+	p.active = map[string]bool{allZones: silent[allZones] > max(1, all[allZones]/4)}
 	for zone, n := range silent {
 		if zone != allZones && len(all) > 2 {
-			cut[zone] = n > 1 && 2*n > all[zone]
+			p.active[zone] = n > 1 && 2*n > all[zone]
 		}
 	}
-	for zone, is := range cut {
+	for zone, is := range p.active {
 		// A quarter of all may well have died or hang: they are waited for only where
 		// their zone is cut, or most do not answer.
 		if is && (zone != allZones || 2*silent[allZones] > all[allZones]) {
-			l.partitionedAt[zone] = l.c.now
+			p.lastSeen[zone] = now
 		}
 	}
-	return cut
 }
 
 // unheardZones lists the zones, and allZones for all machines, of which far too few have been
--- a/controller/progress.go
+++ b/controller/progress.go
@@ -37,7 +37,7 @@
 		}
 	}
 	hints := l.hints()
-	unheard := l.partitioned[allZones]
+	unheard := l.partitions.active[allZones]
 	if len(jobs)+len(hints) > 0 || unheard {
 		l.c.broadcast(&mesh.Envelope{Body: &mesh.Envelope_Progress{Progress: &mesh.Progress{Jobs: jobs, Hints: hints, WorkersUnheard: unheard}}})
 	}
--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -13,7 +13,7 @@
 // usable reports whether a machine may be given new work.
 func (l *leader) usable(m *machine) bool {
 	// Where commands to many get no answer, the fault is ours, and reports carry them.
-	hears := m.unansweredSince.IsZero() || l.partitioned[allZones]
+	hears := m.unansweredSince.IsZero() || l.partitions.active[allZones]
 	return m.up && !m.releasing && !m.consolidating && !m.notice && !m.leaseOut && !l.unresponsive(m) && hears
 }
 
--- a/controller/write_queue_test.go
+++ b/controller/write_queue_test.go
@@ -24,7 +24,7 @@
 		t.Fatal("a refused write is lost")
 	}
 	c.now = c.now.Add(time.Second)
-	l.extend(c.now)
+	l.extend(c.now, c.op.LeaderLifetime())
 	l.flush()
 	if j.write == nil {
 		t.Fatal("not written once the budget allows")
--- a/controller/zone_recovery.go
+++ b/controller/zone_recovery.go
@@ -77,7 +77,7 @@
 // longer to find a new leader.
 func (z *zoneRecovery) observerTrusted() bool {
 	now := z.c.now
-	return now.Before(z.authority) && now.Sub(z.listening) > z.reportDue(time.Second) && now.Sub(z.elected) > z.findsLeaderWithin()
+	return now.Before(z.authority) && now.Sub(z.listening.began) > z.reportDue(time.Second) && now.Sub(z.elected) > z.findsLeaderWithin()
 }
 
 // findsLeaderWithin is how long the workers of healthy zones take to report to a new leader.
