--- /dev/null
+++ b/cells/message.go
@@ -0,0 +1,44 @@
+package cells
+
+// Cell names a cell.
+type Cell string
+
+// Epoch numbers the grants of a home, of all its jobs together. None is used twice; zero stands for
+// none.
+type Epoch uint64
+
+// Kind is what a message is for.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	KindOffer  Kind = iota // home to holder: run the job
+	KindRecall             // home to holder: stop it, nothing of it may start any more
+	KindStatus             // holder to home: what is on record there
+)
+
+// Message is a message between two cells about one job. It may be lost, late, doubled and overtaken.
+type Message struct {
+	Kind     Kind
+	From, To Cell
+	Job      string
+	Epoch    Epoch
+	Floor    Epoch // from the home: every grant of it up to here is over
+
+	Team   string      // KindOffer: the team that owns the job
+	Cancel bool        // KindRecall: its user has cancelled it
+	State  HolderState // KindStatus
+	Result Result      // KindStatus, once it has ended
+}
+
+// Result is how an epoch has ended.
+type Result uint8
+
+// The results of an epoch.
+const (
+	ResultNone      Result = iota
+	ResultRefused          // never accepted
+	ResultReturned         // given back; nothing of it runs there any more
+	ResultDone             // all tasks are done
+	ResultCancelled        // stopped for good
+)
