--- a/cells/transfer_test.go
+++ b/cells/transfer_test.go
@@ -178,7 +178,8 @@
 // decide makes a decision at home.
 func (m *model) decide() {
 	r := m.job()
-	next, err := r.HomeRecord, error(nil)
+	var next HomeRecord
+	var err error
 	switch {
 	case m.chance(0.02):
 		next, err = r.AskCancel()
