Cells: queued batches of a full cell run in another one, switched on by a cell block

Need: a cell that is full for a while has batches that wait, while other cells have room; and nobody may lose track of who owns a job when a cell, a link or a state service fails. Change: the grant is part of a job's header at home, the acceptance part of one at the holder; controller/cell_*.go drives package cells, celllink carries protobuf over HTTP, cells.Plan chooses, abort of a granted job gets 503 until the holder's word is on record, operators may declare a cell gone. 'pumicefront cells'. deploy/cell.hcl switches it on; deploy/service.toml does not.

--- /dev/null
+++ b/celllink/celllink_test.go
@@ -0,0 +1,77 @@
+package celllink
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicefront/cells"
+	"pumicefront/config"
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+// peer stands in for a controller of another cell.
+func peer(t *testing.T, serve http.HandlerFunc) string {
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Messages arrive as they were sent; a controller that doesn't lead is passed over, and the one that
+// answered is asked first the next time.
+func TestCallFindsTheLeader(t *testing.T) {
+	spec := &wire.Job{ID: "req-000001", Team: "red", Tasks: 3}
+	sent := []controller.CellMessage{
+		{Message: cells.Message{Kind: cells.KindOffer, From: "a", To: "b", Job: "req-000001", Epoch: 7, Team: "red"}, Spec: spec},
+		{Message: cells.Message{Kind: cells.KindRecall, From: "a", To: "b", Job: "req-000002", Epoch: 8, Cancel: true}},
+	}
+	status := controller.CellMessage{Message: cells.Message{Kind: cells.KindStatus, From: "b", To: "a", Job: "req-000002", Epoch: 8,
+		State: cells.HolderEnded, Result: cells.ResultCancelled}}
+	passed := 0
+	follower := peer(t, func(w http.ResponseWriter, _ *http.Request) {
+		passed++
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	leader := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		got, err := ReadRequest(r.Body, "b")
+		if err != nil || r.URL.Path != cells.MessagesPath || got.From != "a" || got.Floor != 6 || !reflect.DeepEqual(got.Messages, sent) {
+			t.Errorf("%+v %v", got, err)
+		}
+		raw, err := WriteAnswer(controller.CellAnswer{Messages: []controller.CellMessage{status}, Room: 12})
+		if err != nil {
+			t.Error(err)
+		}
+		_, _ = w.Write(raw)
+	})
+	client := NewClient(&config.Cell{Name: "a", Peers: []config.CellPeer{{Name: "b", Addresses: []string{follower, leader}}}})
+	for range 2 {
+		got := client.Call(controller.CellCall{ID: 3, To: "b", Floor: 6, Messages: sent})
+		if !got.OK || got.ID != 3 || got.Room != 12 || !reflect.DeepEqual(got.Messages, []controller.CellMessage{status}) {
+			t.Errorf("%+v", got)
+		}
+	}
+	if passed != 1 {
+		t.Errorf("the one that doesn't lead is asked %d times", passed)
+	}
+}
+
+// A cell that listens and says nothing, or nonsense, is given up in time.
+func TestCallGivesUp(t *testing.T) {
+	gone := make(chan struct{})
+	defer close(gone)
+	silent := peer(t, func(http.ResponseWriter, *http.Request) { <-gone })
+	odd := peer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "\xff\xff") })
+	client := NewClient(&config.Cell{Name: "a", Peers: []config.CellPeer{{Name: "b", Addresses: []string{odd, silent, silent, silent, silent}}}})
+	began := time.Now()
+	if r := client.Call(controller.CellCall{ID: 4, To: "b"}); r.OK || r.ID != 4 || time.Since(began) > callTimeout+addressTimeout {
+		t.Errorf("%+v after %v", r, time.Since(began))
+	}
+	if _, err := ReadRequest(strings.NewReader("\xff"), "b"); err == nil {
+		t.Error("nonsense is read")
+	}
+}
--- /dev/null
+++ b/celllink/convert.go
@@ -0,0 +1,42 @@
+// Package celllink carries messages between cells: protobuf over HTTP, one call at a time for each
+// cell, with an end to every wait. Nothing is promised; what matters is asked for again by the core.
+package celllink
+
+import (
+	"fmt"
+
+	"pumicefront/cells"
+	"pumicefront/controller"
+	"pumicefront/wire"
+)
+
+// encode spells messages as they go over the wire.
+func encode(messages []controller.CellMessage) []*Message {
+	var all []*Message
+	for _, m := range messages {
+		p := &Message{Kind: Kind(m.Kind), Job: m.Job, Epoch: uint64(m.Epoch), Cancel: m.Cancel, State: State(m.State), Result: Result(m.Result)}
+		if m.Spec != nil {
+			p.Spec = wire.Marshal(m.Spec)
+		}
+		all = append(all, p)
+	}
+	return all
+}
+
+// decode reads messages that came from a cell. The team is the one that the job's description names.
+func decode(messages []*Message, from, to cells.Cell) ([]controller.CellMessage, error) {
+	var all []controller.CellMessage
+	for _, p := range messages {
+		m := controller.CellMessage{Message: cells.Message{Kind: cells.Kind(p.Kind), From: from, To: to, Job: p.Job,
+			Epoch: cells.Epoch(p.Epoch), Cancel: p.Cancel, State: cells.HolderState(p.State), Result: cells.Result(p.Result)}}
+		if len(p.Spec) > 0 {
+			m.Spec = &wire.Job{}
+			if err := wire.Unmarshal(p.Spec, m.Spec); err != nil {
+				return nil, fmt.Errorf("message about %s: %w", p.Job, err)
+			}
+			m.Team = m.Spec.Team
+		}
+		all = append(all, m)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/cells/planner_test.go
@@ -0,0 +1,88 @@
+package cells
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gonum.org/v1/gonum/mat"
+	"gonum.org/v1/gonum/optimize/convex/lp"
+)
+
+// moved is how many cores' work a plan moves; no cell may get more than it has room for.
+func moved(t *testing.T, waiting []Waiting, room map[Cell]float64) float64 {
+	sizes, used, all := map[string]float64{}, map[Cell]float64{}, 0.0
+	for _, w := range waiting {
+		sizes[w.Job] = w.Size
+	}
+	for _, m := range Plan(waiting, room) {
+		size, known := sizes[m.Job]
+		if !known {
+			t.Fatalf("%s is moved twice", m.Job)
+		}
+		delete(sizes, m.Job)
+		used[m.To] += size
+		all += size
+	}
+	for cell, cores := range used {
+		if cores > room[cell]+1e-9 {
+			t.Fatalf("%v cores for %s, which has room for %v", cores, cell, room[cell])
+		}
+	}
+	return all
+}
+
+// bound is the most that any plan could move, were jobs divisible: a linear program over the share
+// x[i][j] of job i that goes to cell j, with a slack for each job and each cell.
+func bound(t *testing.T, waiting []Waiting, rooms []float64) float64 {
+	jobs, cells := len(waiting), len(rooms)
+	variables := jobs*cells + jobs + cells
+	a := mat.NewDense(jobs+cells, variables, nil)
+	b, c := make([]float64, jobs+cells), make([]float64, variables)
+	for i, job := range waiting {
+		for j := range rooms {
+			a.Set(i, i*cells+j, 1)
+			a.Set(jobs+j, i*cells+j, job.Size)
+			c[i*cells+j] = -job.Size
+		}
+		a.Set(i, jobs*cells+i, 1)
+		b[i] = 1
+	}
+	for j, room := range rooms {
+		a.Set(jobs+j, jobs*cells+jobs+j, 1)
+		b[jobs+j] = room
+	}
+	most, _, err := lp.Simplex(c, a, b, 1e-9, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return -most
+}
+
+// The greedy rule moves nearly as much as a linear program could. If it did not, it should be
+// replaced.
+func TestGreedyPlanAgainstLinearProgram(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	greedy, best, worst := 0.0, 0.0, 1.0
+	const draws = 300
+	for range draws {
+		var waiting []Waiting
+		for i := range 4 + rng.IntN(16) {
+			waiting = append(waiting, Waiting{fmt.Sprint(i), float64(1+rng.IntN(8)) * float64(1+rng.IntN(50))})
+		}
+		room, rooms := map[Cell]float64{}, []float64{}
+		for j := range 1 + rng.IntN(4) {
+			cores := float64(rng.IntN(1200))
+			room[Cell('b'+rune(j))], rooms = cores, append(rooms, cores)
+		}
+		got, most := moved(t, waiting, room), bound(t, waiting, rooms)
+		greedy, best = greedy+got, best+most
+		if most > 0 {
+			worst = min(worst, got/most)
+		}
+	}
+	t.Logf("the greedy rule moves %.1f%% of what a linear program could in %d draws, %.1f%% in the worst", 100*greedy/best, draws, 100*worst)
+	if greedy < 0.9*best {
+		t.Errorf("%.1f%% of the bound", 100*greedy/best)
+	}
+}
--- /dev/null
+++ b/cellview/cellview.go
@@ -0,0 +1,79 @@
+// Package cellview shows operators the links between cells, and tells a cell of their decisions.
+package cellview
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+
+	"pumicefront/cells"
+	"pumicefront/statusclient"
+)
+
+// Print writes the status of a cell once.
+func Print(ctx context.Context, out io.Writer, addresses []string) error {
+	status, err := statusclient.Fetch[cells.Status](ctx, addresses, cells.StatusPath)
+	if err != nil {
+		return err
+	}
+	if _, err := io.WriteString(out, Render(status)); err != nil {
+		return fmt.Errorf("write status: %w", err)
+	}
+	return nil
+}
+
+// Render writes a status as lines of text.
+func Render(s cells.Status) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "cell %s, leader %s, lends %.0f cores; every controller ready: %v\n\n", s.Cell, s.Member, s.Lends, s.Ready)
+	table := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CELL\tANSWERED\tFAILURES\tROOM\tGRANTED\tOLDEST EPOCH\tDECLARED GONE")
+	for _, l := range s.Links {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%.0f\t%d\t%d\t%s\n", l.Cell, answeredText(l.AnsweredS), l.Failures, l.Room, l.Granted, l.OldestEpoch, goneText(l))
+	}
+	fmt.Fprintln(table, "\nTEAM\tWAY\tJOBS\tTASKS")
+	for _, t := range s.Out {
+		fmt.Fprintf(table, "%s\tout\t%d\t%d\n", t.Team, t.Jobs, t.Tasks)
+	}
+	for _, t := range s.In {
+		fmt.Fprintf(table, "%s\tin\t%d\t%d\n", t.Team, t.Jobs, t.Tasks)
+	}
+	if err := table.Flush(); err != nil {
+		return err.Error()
+	}
+	return out.String()
+}
+
+func answeredText(ago float64) string {
+	if ago < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.0f s ago", ago)
+}
+
+func goneText(l cells.LinkStatus) string {
+	if l.GoneBy == "" {
+		return "-"
+	}
+	return fmt.Sprintf("up to %d by %s", l.GoneEpoch, l.GoneBy)
+}
+
+// DeclareGone tells a home that another cell has ended all that it was granted, and who vouches
+// for that. The controllers are asked in turn until the one that leads has recorded it.
+func DeclareGone(ctx context.Context, addresses []string, cell, by string) error {
+	query := url.Values{"cell": {cell}, "by": {by}}.Encode()
+	var failures []error
+	for _, address := range addresses {
+		_, err := statusclient.Ask(ctx, http.MethodPost, "http://"+address+cells.GonePath+"?"+query)
+		if err == nil {
+			return nil
+		}
+		failures = append(failures, err)
+	}
+	return errors.Join(failures...)
+}
--- a/cmd/pumicefront/main.go
+++ b/cmd/pumicefront/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/mattn/go-isatty"
 
+	"pumicefront/cellview"
 	"pumicefront/config"
 	"pumicefront/server"
 	"pumicefront/zoneview"
@@ -82,6 +83,31 @@
 // shortestInterval keeps a view from asking the core all the time.
 const shortestInterval = 200 * time.Millisecond
 
+type cellsCmd struct {
+	Show        cellsShowCmd `cmd:"" default:"withargs" help:"Show the links to other cells, and jobs out and in by team."`
+	DeclareGone cellsGoneCmd `cmd:"" help:"Vouch for a cell's having ended all that it was granted. docs/operations.md says what you must be sure of."`
+}
+
+type cellsShowCmd struct {
+	Address []string `help:"Listener for cells of a controller (cell.listen in its settings); may be given several times." required:""`
+}
+
+// Run shows the links once.
+func (c *cellsShowCmd) Run() error {
+	return cellview.Print(context.Background(), os.Stdout, c.Address)
+}
+
+type cellsGoneCmd struct {
+	Address []string `help:"Listener for cells of a controller of the home." required:""`
+	Cell    string   `help:"The cell that is gone." required:""`
+	By      string   `help:"Who vouches for it; this is recorded." required:""`
+}
+
+// Run declares the cell gone.
+func (c *cellsGoneCmd) Run() error {
+	return cellview.DeclareGone(context.Background(), c.Address, c.Cell, c.By)
+}
+
 type versionCmd struct{}
 
 // Run prints the version.
@@ -114,6 +140,7 @@
 		Serve         serveCmd   `cmd:"" help:"Run a controller."`
 		CheckSettings checkCmd   `cmd:"" help:"Check both settings files and print what was understood."`
 		Zones         zonesCmd   `cmd:"" help:"Show the state of the zones (zone recovery must be on)."`
+		Cells         cellsCmd   `cmd:"" help:"Links to other cells (spilling over must be on)."`
 		Version       versionCmd `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("pumicefront"), kong.Description("A scheduler for a cluster of rented machines."))
--- a/config/config.go
+++ b/config/config.go
@@ -121,6 +121,8 @@
 
 	ZoneRecoveryBlock *zoneRecoveryBlock `hcl:"zone_recovery,block"`
 	ZoneRecovery      *ZoneRecovery      // what follows from the block; nil: zone recovery is off
+	CellBlock         *cellBlock         `hcl:"cell,block"`
+	Cell              *Cell              // what follows from the block; nil: this cell is alone
 }
 
 // DefaultOperator are the settings where the file says nothing.
@@ -203,6 +205,13 @@
 		}
 		o.ZoneRecovery, o.ZoneRecoveryBlock = recovery, nil
 	}
+	if o.CellBlock != nil {
+		cell, err := o.CellBlock.settings()
+		if err != nil {
+			return o, fmt.Errorf("%s: %w", path, err)
+		}
+		o.Cell, o.CellBlock = cell, nil
+	}
 	return o, nil
 }
 
--- a/config/zone_recovery.go
+++ b/config/zone_recovery.go
@@ -44,14 +44,9 @@
 		{"hold_down_most", b.HoldDownMost, &z.HoldDownMost},
 		{"flap_window", b.FlapWindow, &z.FlapWindow},
 	} {
-		if d.text == nil {
-			continue
+		if err := parseDuration("zone_recovery."+d.name, d.text, d.into); err != nil {
+			return nil, err
 		}
-		parsed, err := time.ParseDuration(*d.text)
-		if err != nil {
-			return nil, fmt.Errorf("field zone_recovery.%s: %w", d.name, err)
-		}
-		*d.into = parsed
 	}
 	z.FirstStarts, z.FirstFetches = orNow(b.FirstStarts, z.FirstStarts), orNow(b.FirstFetches, z.FirstFetches)
 	if b.StatusListen != nil {
--- a/controller/control.go
+++ b/controller/control.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"pumicefront/cells"
 	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
@@ -20,6 +21,8 @@
 	leader          *leaderRecord
 	token           uint64
 	headers         map[string]*headerRecord
+	epoch           cells.Epoch // the last that was taken for a grant to another cell
+	gone            map[cells.Cell]goneRecord
 	members         map[string]int // the version that each member has noted
 
 	syncing     bool
@@ -32,6 +35,7 @@
 	k.versions = map[string]uint64{}
 	k.headers = map[string]*headerRecord{}
 	k.members = map[string]int{}
+	k.gone = map[cells.Cell]goneRecord{}
 }
 
 // maxWaiting bounds the requests that wait for one sync.
@@ -220,6 +224,14 @@
 		if t := decode[wire.MachineTypes](e.Value); t != nil {
 			c.setTypes(t.Types)
 		}
+	case strings.HasPrefix(key, gonePrefix):
+		if g := decode[goneRecord](e.Value); g != nil {
+			c.control.gone[cells.Cell(strings.TrimPrefix(key, gonePrefix))] = *g
+		}
+	case key == epochKey:
+		if e := decode[epochRecord](e.Value); e != nil {
+			c.control.epoch = e.Epoch
+		}
 	case strings.HasPrefix(key, versionPrefix):
 		if v := decode[versionRecord](e.Value); v != nil {
 			c.control.members[strings.TrimPrefix(key, versionPrefix)] = v.Version
--- a/controller/core.go
+++ b/controller/core.go
@@ -43,6 +43,7 @@
 	stateCalls  map[uint64]func(StateReply)
 	cloudCalls  map[uint64]func(CloudReply)
 	workerCalls map[uint64]func(WorkerReply)
+	cellCalls   map[uint64]func(CellReply)
 	timers      []timer
 
 	reads  *rate.Limiter // requests to the state service for users
@@ -88,6 +89,7 @@
 		stateCalls:  map[uint64]func(StateReply){},
 		cloudCalls:  map[uint64]func(CloudReply){},
 		workerCalls: map[uint64]func(WorkerReply){},
+		cellCalls:   map[uint64]func(CellReply){},
 		reads:       readLimiter(st, share),
 		writes:      rate.NewLimiter(0, writeBurst(st)),
 		types:       map[string]wire.MachineType{},
@@ -155,6 +157,14 @@
 		c.report(in)
 	case MeshMessage:
 		c.meshMessage(in.Envelope)
+	case CellReply:
+		resume(c.cellCalls, in.ID, in)
+	case CellRequest:
+		c.cellRequest(in)
+	case CellStatusRequest:
+		c.cellStatus(in)
+	case CellGoneRequest:
+		c.declareGone(in)
 	case ZoneStatusRequest:
 		c.zoneStatus(in)
 	}
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -16,7 +16,7 @@
 	var ds []*scheduler.Demand
 	l.assignGuarantees()
 	for _, j := range l.order {
-		if j.cancelled || j.state.Count(reduction.Pending) == 0 || l.blocked(j) {
+		if j.cancelled || j.grant != nil || !l.cells.mayStart(j) || j.state.Count(reduction.Pending) == 0 || l.blocked(j) {
 			continue
 		}
 		verdict, frontier := reduction.Classify(j.graph, j.state)
@@ -40,7 +40,7 @@
 		d.WithinGuarantee, d.AgeS, d.Avoid = !j.terms.Borrowed, l.c.now.Sub(j.ready).Seconds(), j.avoid
 		d.Late, d.WorkS = l.missed(j), l.workLeft(j)
 		d.KeepOffSpot = d.Spot && l.delaysChain(j)
-		d.Begun, d.Aged = j.begun, l.waited(j)
+		d.Begun, d.Aged = j.begun, l.waited(j) && j.origin == nil
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
--- a/controller/election.go
+++ b/controller/election.go
@@ -89,6 +89,7 @@
 	l.budget.setRate(c.now, c.writeRate())
 	l.fleet.init()
 	l.zones = newZoneRecovery(l)
+	l.cells = newCellSide(l)
 	c.lead = l
 	l.extend(sent, c.op.LeaderLifetime())
 	c.log(slog.LevelInfo, "leading", "token", token)
--- a/controller/finals.go
+++ b/controller/finals.go
@@ -80,6 +80,8 @@
 		switch {
 		case !ok:
 			fn(knownUnsure)
+		case c.control.headers[job] != nil && c.control.headers[job].Origin != nil:
+			fn(knownNot) // another cell's: its users are told there
 		case c.control.headers[job] != nil:
 			c.lookupEnds(job, fn)
 		default:
--- a/controller/headroom.go
+++ b/controller/headroom.go
@@ -44,7 +44,7 @@
 func (l *leader) trackPeaks() {
 	now := map[string]float64{}
 	for _, j := range l.order {
-		if j.cancelled || l.blocked(j) {
+		if j.cancelled || l.blocked(j) || j.grant != nil || j.origin != nil {
 			continue
 		}
 		class := j.spec.Class
--- a/controller/job.go
+++ b/controller/job.go
@@ -42,8 +42,10 @@
 	holdUntil      time.Time
 	ended          bool // the final record is written
 	terms          *scheduler.Terms
-	begun          bool // a task has run, ever
-	disrupted      bool // has lost an attempt to a failure, or gave way: goes on first
+	begun          bool          // a task has run, ever
+	disrupted      bool          // has lost an attempt to a failure, or gave way: goes on first
+	grant          *grantRecord  // another cell may run it, and nobody here
+	origin         *originRecord // it is another cell's
 }
 
 // chunk is a run of tasks that share a record.
@@ -82,6 +84,10 @@
 	}
 	j.terms = &scheduler.Terms{Job: id, Team: h.Job.Team, Rank: slices.Index(wire.Priorities, h.Job.Priority),
 		Each: jobEach(&h.Job), CheckpointS: h.Job.CheckpointS}
+	j.grant, j.origin = h.Grant, h.Origin
+	if j.origin != nil { // below all that is this cell's own
+		j.terms.Rank, j.terms.Borrowed = len(wire.Priorities)-1, true
+	}
 	if j.spec.DeadlineS != nil {
 		j.due = deadline{last: &j.spec, from: j.accepted}
 	}
@@ -118,6 +124,9 @@
 		l.c.log(slog.LevelInfo, "job accepted", "job", id, "class", h.Job.Class, "team", h.Job.Team, "tasks", h.Job.Tasks)
 		l.wantPlacement()
 	}
+	if (h.Grant == nil) != (j.grant == nil) {
+		l.granted(j, h.Grant)
+	}
 	if l.c.withdrawn(id) && !j.cancelled {
 		l.c.log(slog.LevelInfo, "job cancelled", "job", id)
 		l.cancel(j)
@@ -216,8 +225,11 @@
 		}
 	}
 	l.order = slices.DeleteFunc(l.order, func(o *job) bool { return o == j })
-	l.c.jobEnded(j.id, f)
+	if j.origin == nil { // what ends for another cell is nobody's job here
+		l.c.jobEnded(j.id, f)
+	}
 	delete(l.progressTold, j.id)
+	l.cells.forget(j.id)
 	if f.Cancelled {
 		l.c.log(slog.LevelInfo, "job ended", "job", j.id, "state", "cancelled")
 	} else {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -37,6 +37,7 @@
 	hintedAt     time.Time
 	progressTold map[string]jobCount
 	zones        *zoneRecovery // nil: switched off
+	cells        *cellSide     // nil: this cell is alone
 }
 
 // run is the leader's part of every step.
@@ -47,6 +48,7 @@
 	l.listening.observe(l.c.now)
 	l.proveGone()
 	l.zones.run()
+	l.cells.run()
 	l.place()
 	l.flush()
 	l.zones.keepRecords()
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -61,7 +61,7 @@
 func (l *leader) teamUse() map[string]scheduler.Resources {
 	used := map[string]scheduler.Resources{}
 	for _, j := range l.order {
-		used[j.spec.Team] = used[j.spec.Team].Add(jobEach(&j.spec), float64(len(j.attempts)))
+		used[j.spec.Team] = used[j.spec.Team].Add(jobEach(&j.spec), float64(len(j.attempts))).Add(grantedUse(j), 1)
 	}
 	return used
 }
@@ -113,7 +113,7 @@
 	}
 	order := make([]ranked, 0, len(l.order))
 	for _, j := range l.order {
-		if !j.cancelled && !l.blocked(j) {
+		if !j.cancelled && !l.blocked(j) && j.origin == nil {
 			order = append(order, ranked{j, l.missed(j), l.workLeft(j)})
 		}
 	}
--- a/controller/records.go
+++ b/controller/records.go
@@ -22,6 +22,10 @@
 	taskPrefix    = "t/"
 	rentalPrefix  = "h/"
 	versionPrefix = "c/v/"
+	epochKey      = "c/epoch"
+	fencePrefix   = "y/"
+	floorPrefix   = "w/"
+	gonePrefix    = "c/gone/"
 )
 
 // leaderRecord says who leads.
@@ -42,6 +46,9 @@
 	Cancelled  bool     `cbor:"x,omitempty"`
 	AcceptedMS int64    `cbor:"t"`
 	PerChunk   int      `cbor:"per"` // tasks in each of its task records
+
+	Grant  *grantRecord  `cbor:"g,omitempty"` // another cell may run it, and nobody here
+	Origin *originRecord `cbor:"o,omitempty"` // it is another cell's, and may run here
 }
 
 // finalRecord is what is kept of a job that is over.
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -42,20 +42,37 @@
 		default:
 			read(rentalPrefix, func(hires []wire.Item) {
 				read(taskPrefix, func(tasks []wire.Item) {
-					if l.zones == nil {
-						l.rebuild(tasks, hires)
-						return
-					}
-					read(zonePrefix, func(kept []wire.Item) {
-						l.zones.restoreZones(kept)
-						l.rebuild(tasks, hires)
-					})
+					l.readOptional(read, func() { l.rebuild(tasks, hires) })
 				})
 			})
 		}
 	})
 }
 
+// readOptional reads the records of what operators have switched on.
+func (l *leader) readOptional(read func(prefix string, next func([]wire.Item)), done func()) {
+	fences := func() {
+		if l.cells == nil {
+			done()
+			return
+		}
+		read(floorPrefix, func(floors []wire.Item) {
+			read(fencePrefix, func(kept []wire.Item) {
+				l.cells.restore(floors, kept)
+				done()
+			})
+		})
+	}
+	if l.zones == nil {
+		fences()
+		return
+	}
+	read(zonePrefix, func(kept []wire.Item) {
+		l.zones.restoreZones(kept)
+		fences()
+	})
+}
+
 // rebuild makes the leader's state from the records: what was running is
 // pending again, but stays off the frontier until its attempt is proved gone.
 func (l *leader) rebuild(tasks, hires []wire.Item) {
--- a/controller/user_requests.go
+++ b/controller/user_requests.go
@@ -162,6 +162,10 @@
 			c.answerState(r, k, http.StatusNotFound)
 			return
 		}
+		if h.Grant != nil {
+			c.abortGranted(r, *h)
+			return
+		}
 		if tries == 0 || !c.writes.AllowN(c.now, 1) {
 			c.retryLater(r.Req, "too many changes")
 			return
--- a/controller/versions.go
+++ b/controller/versions.go
@@ -21,16 +21,25 @@
 	firstVersionWithChains = 2
 	firstVersionWithEnds   = 3 // finds out how needed jobs ended before it tells of a job
 	thisVersion            = firstVersionWithEnds
+	firstVersionWithCells  = 4 // knows that a job may be granted to another cell; noted where that is switched on
 )
 
+// version is what this process notes of itself.
+func (c *Core) version() int {
+	if c.op.Cell != nil {
+		return firstVersionWithCells
+	}
+	return thisVersion
+}
+
 // announce notes this process's version where it isn't noted yet.
 func (c *Core) announce() {
-	if !c.control.loaded || c.announcing || c.control.members[c.cfg.Member] >= thisVersion {
+	if !c.control.loaded || c.announcing || c.control.members[c.cfg.Member] >= c.version() {
 		return
 	}
 	c.announcing = true
 	key := versionPrefix + c.cfg.Member
-	set := put(key, versionRecord{thisVersion})
+	set := put(key, versionRecord{c.version()})
 	txn := wire.Txn{If: []wire.Cond{{Key: key, Version: c.control.versions[key]}}, Then: []wire.Change{set}}
 	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(r StateReply) {
 		if r.Status == http.StatusOK {
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -145,6 +145,10 @@
 
 // composeFinal moves the job from its header to its final record.
 func (l *leader) composeFinal(j *job, w *write) {
+	if j.origin != nil {
+		l.composeEnd(j, w)
+		return
+	}
 	w.final = &finalRecord{Cancelled: j.cancelled, Tasks: j.spec.Tasks, EndedMS: l.c.now.UnixMilli()}
 	w.txn.Then = []wire.Change{put(finalKey(j.id), *w.final), {Delete: headerKey(j.id)}}
 }
@@ -214,6 +218,9 @@
 	j.write = nil
 	if w.final != nil {
 		l.removeJob(j, *w.final)
+		if j.origin != nil && l.cells != nil {
+			l.cells.rereadFence(fenceKey(j.origin.Home, j.id))
+		}
 		return
 	}
 	clean := true
@@ -260,6 +267,8 @@
 	if j.cancelled {
 		l.cancel(j)
 		l.settle(j)
+	} else if j.grant != nil {
+		l.granted(j, j.grant)
 	}
 }
 
--- /dev/null
+++ b/deploy/cell.hcl
@@ -0,0 +1,24 @@
+# Operators' own settings of one of several cells; docs/operations.md explains each. The other cells
+# have files of their own, with their names and the others as peers.
+leader_life   = "1.4s"
+silent_share  = 0.25
+idle_s        = 15
+headroom      = 0.1
+headroom_most = 1.5
+surge         = 2
+surge_batch   = 1
+
+cell {
+  name         = "gent"
+  listen       = "127.0.0.1:7081"
+  spill_after  = "20s"
+  return_after = "30s"
+  lend_cores   = 200
+
+  peer "joburg" {
+    addresses = ["127.0.0.1:7181", "127.0.0.1:7182", "127.0.0.1:7183"]
+  }
+  peer "brussel" {
+    addresses = ["127.0.0.1:7281"]
+  }
+}
--- a/internal/sim/histories.go
+++ b/internal/sim/histories.go
@@ -4,10 +4,16 @@
 
 // note adds an event to the history, where one is kept.
 func (w *World) note(e history.Event) {
-	if w.keepHistory {
-		e.At = w.now
-		w.history = append(w.history, e)
+	if !w.keepHistory {
+		return
 	}
+	e.At = w.now
+	if w.cluster != nil { // machines of different cells may have the same name
+		e.Machine = cellName(w.place) + "/" + e.Machine
+		w.cluster.history = append(w.cluster.history, e)
+		return
+	}
+	w.history = append(w.history, e)
 }
 
 func (h *host) noteEnd(t *task) {
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -57,28 +57,44 @@
 }
 
 // RunLive plays for so long in real time, or until the first broken rule.
-func (w *World) RunLive(duration time.Duration) error {
-	began := time.Now().Add(-w.now)
-	until := w.now + duration
-	for w.now < until && len(w.Rules) == 0 && w.live.err == nil {
-		pause := until - w.now
-		if len(w.events) > 0 {
-			pause = min(pause, w.events[0].at-w.now)
+func (w *World) RunLive(duration time.Duration) error { return runLive([]*World{w}, duration) }
+
+// runLive plays worlds that share a clock and the goroutine that owns them.
+func runLive(worlds []*World, duration time.Duration) error {
+	first := worlds[0]
+	began := time.Now().Add(-first.now)
+	until := first.now + duration
+	for first.now < until {
+		pause := until - first.now
+		for _, w := range worlds {
+			if len(w.events) > 0 {
+				pause = min(pause, w.events[0].at-first.now)
+			}
 		}
 		timer := time.NewTimer(pause)
+		var input func()
 		select {
-		case fn := <-w.live.inputs:
-			w.now = max(w.now, time.Since(began))
-			fn()
+		case input = <-first.live.inputs:
 		case <-timer.C:
-			w.now = max(w.now, time.Since(began))
-		case <-w.live.ctx.Done():
-			return w.live.ctx.Err()
+		case <-first.live.ctx.Done():
+			return first.live.ctx.Err()
 		}
 		timer.Stop()
-		w.runDue()
+		now := max(first.now, time.Since(began))
+		for _, w := range worlds {
+			w.now = now
+		}
+		if input != nil {
+			input()
+		}
+		for _, w := range worlds {
+			w.runDue()
+			if len(w.Rules) > 0 || w.live.err != nil {
+				return w.live.err
+			}
+		}
 	}
-	return w.live.err
+	return nil
 }
 
 // do has the world's goroutine run fn.
--- a/internal/sim/live_test.go
+++ b/internal/sim/live_test.go
@@ -118,20 +118,26 @@
 }
 `
 
-// startControllers starts three controllers against the stand-ins of a world.
-func startControllers(t *testing.T, ctx context.Context, w *World) []*liveController {
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "pumicefront")
+// buildProgram builds the program, and returns its path.
+func buildProgram(t *testing.T, ctx context.Context) string {
+	binary := filepath.Join(t.TempDir(), "pumicefront")
 	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "pumicefront/cmd/pumicefront").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return binary
+}
+
+// startControllers starts controllers against the stand-ins of a world; operators tells the
+// operators' settings of each.
+func startControllers(t *testing.T, ctx context.Context, w *World, binary string, count int, operators func(c *liveController, i int) string) []*liveController {
+	dir := t.TempDir()
 	var cs []*liveController
 	var serves, meshes []string
-	for i := range 3 {
+	for i := range count {
 		name := fmt.Sprintf("n%d", i)
 		c := &liveController{t: t, binary: binary, settings: filepath.Join(dir, name+".toml"), hcl: filepath.Join(dir, name+".hcl"),
 			status: freeAddress(t), trace: filepath.Join(dir, name+".trace")}
-		if err := os.WriteFile(c.hcl, fmt.Appendf(nil, liveOperators, c.status, c.trace), 0o600); err != nil {
+		if err := os.WriteFile(c.hcl, []byte(operators(c, i)), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		cs, serves, meshes = append(cs, c), append(serves, freeAddress(t)), append(meshes, freeAddress(t))
@@ -183,7 +189,9 @@
 	w.cfg.Facts.Workers.ReportS, w.cfg.Facts.Workers.LeaseS, w.cfg.Facts.Workers.CancelS = 0.5, 4, 10
 	w.cfg.Facts.Cloud.ListLagS = 1
 	w.faults.fastBoots = true
-	cs := startControllers(t, ctx, w)
+	cs := startControllers(t, ctx, w, buildProgram(t, ctx), 3, func(c *liveController, _ int) string {
+		return fmt.Sprintf(liveOperators, c.status, c.trace)
+	})
 	addresses := []string{cs[0].status, cs[1].status, cs[2].status}
 	play := func(d time.Duration) {
 		if err := w.RunLive(d); err != nil {
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -190,6 +190,8 @@
 		n.callWorker(o)
 	case controller.MeshSend:
 		n.sendMesh(o)
+	case controller.CellCall:
+		n.w.cluster.call(n, o)
 	case controller.ZoneChanged:
 		n.w.noteZone(o)
 	case controller.TaskRestarted:
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -56,6 +56,7 @@
 			w.broken("too_early", "%s starts, %s that it needs has %d tasks left", t.id, p.spec.ID, p.left())
 		}
 	}
+	w.checkCells(h, t, j)
 	w.checkPlace(h, t, j, zones)
 	if j.cancelTold && w.now > j.cancelledAt+w.cancelTime() {
 		w.broken("ran_cancelled", "%s starts on %s", t.id, h.id)
@@ -245,7 +246,7 @@
 // the job is left.
 func (w *World) checkCancelled(j *simJob) {
 	w.after(w.cancelTime()+time.Millisecond, func() {
-		w.running(func(h *host, t *task) {
+		w.everywhere(func(h *host, t *task) {
 			if t.job == j {
 				w.broken("ran_cancelled", "%s is still on %s", t.id, h.id)
 			}
--- a/internal/sim/settings.go
+++ b/internal/sim/settings.go
@@ -55,6 +55,7 @@
 	Fleet     = Shape{Controllers: 5, Machines: 1900, Scale: 400, Tasks: 300, ArrivalInterval: 600 * time.Millisecond}
 	GPUs      = Shape{Controllers: 3, Machines: 9, Scale: 1, Tasks: 7, ArrivalInterval: 4 * time.Second, GPUs: true}
 	Chains    = Shape{Controllers: 3, Machines: 24, Scale: 4, Tasks: 20, ArrivalInterval: 6 * time.Second, Chains: true}
+	Cell      = Shape{Controllers: 3, Machines: 24, Scale: 3, Tasks: 10, ArrivalInterval: 5 * time.Second}
 	Zoned     = Shape{Controllers: 3, Machines: 42, Scale: 6, Tasks: 16, ArrivalInterval: 2500 * time.Millisecond, Zones: 3}
 	LargeGPUs = Shape{Controllers: 5, Machines: 2600, Scale: 80, Tasks: 150, ArrivalInterval: 700 * time.Millisecond, GPUs: true}
 )
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -49,7 +49,10 @@
 
 func (u *users) jobOf(task string) *simJob {
 	id, _, _ := wire.SplitTask(task)
-	return u.jobs[id]
+	if j := u.jobs[id]; j != nil || u.w.cluster == nil {
+		return j
+	}
+	return u.w.jobAnywhere(id)
 }
 
 // arrive keeps submitting.
@@ -109,6 +112,7 @@
 
 func (u *users) enter(j *simJob) {
 	w := u.w
+	u.belongHere(j)
 	u.jobs[j.spec.ID] = j
 	u.list = append(u.list, j)
 	u.submit(j)
@@ -117,6 +121,14 @@
 	}
 }
 
+// belongHere makes this cell a job's home: users of different cells choose different ids.
+func (u *users) belongHere(j *simJob) {
+	if c := u.w.cluster; c != nil {
+		j.spec.ID += fmt.Sprint(u.w.place + 1)
+		c.homes[j.spec.ID] = u.w
+	}
+}
+
 // needGPUs makes a job one that takes GPUs, where its team has any, with so many cores
 // that two tasks don't always fit on a small machine; an array gets a deadline.
 func (w *World) needGPUs(j *simJob) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -41,6 +41,8 @@
 	shape         Shape
 	faults        faults
 	zoneHistory   zoneHistory
+	cluster       *Cluster               // the cells that this one belongs to; nil: it is alone
+	place         int                    // among them
 	onStart       func(h *host, t *task) // called when a task starts
 	processor     time.Duration          // that the controllers' cores took
 	keepHistory   bool
@@ -180,6 +182,9 @@
 	w.now = until
 }
 
+// runOne runs the next event.
+func (w *World) runOne() { heap.Pop(&w.events).(event).fn() }
+
 // runDue runs what is due by now.
 func (w *World) runDue() {
 	for len(w.events) > 0 && w.events[0].at <= w.now && len(w.Rules) == 0 {
--- a/server/server.go
+++ b/server/server.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"pumicefront/celllink"
 	"pumicefront/client"
 	"pumicefront/config"
 	"pumicefront/controller"
@@ -51,6 +52,7 @@
 	open   atomic.Int64              // connections of users and workers
 	until  atomic.Pointer[time.Time] // the core's authority, as it was after its last step
 	zones  *zonetrace.Recorder       // nil: recoveries of zones are not traced
+	cells  *celllink.Client          // nil: this cell is alone
 }
 
 // How the sockets are shared: most for users and workers, some for calls of
@@ -131,6 +133,11 @@
 		return err
 	}
 	defer closeZones()
+	closeCells, err := s.startCells()
+	if err != nil {
+		return err
+	}
+	defer closeCells()
 	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10, ConnState: s.trackConnection}
 	failed := make(chan error, 1)
 	// Beyond the limit connections wait unaccepted, and the load balancer tries
@@ -209,6 +216,8 @@
 		go func() { s.inputs <- s.client.Cloud(o) }()
 	case controller.WorkerCall:
 		go func() { s.inputs <- s.client.Worker(o) }()
+	case controller.CellCall:
+		go func() { s.inputs <- s.cells.Call(o) }()
 	case controller.MeshSend:
 		s.mesh.Send(o.To, o.Envelope)
 	case controller.ZoneChanged, controller.TaskDisplaced, controller.TaskRestarted, controller.ZoneRecovered, controller.RecoveriesHandedOver:
--- a/zones/status.go
+++ b/zones/status.go
@@ -56,3 +56,12 @@
 	}
 	return s
 }
+
+// Leads reports whether the controller that answered leads.
+func (s Status) Leads() bool { return s.Leading }
+
+// KnownLeader is who leads, as far as it knows.
+func (s Status) KnownLeader() string { return s.Leader }
+
+// AnsweredBy is the controller's name.
+func (s Status) AnsweredBy() string { return s.Member }
--- a/zoneview/view.go
+++ b/zoneview/view.go
@@ -1,3 +1,5 @@
+// Package zoneview shows operators the state of the zones: in a terminal, renewed while it is open,
+// elsewhere as plain lines. It only reads.
 package zoneview
 
 import (
@@ -8,9 +10,15 @@
 
 	tea "github.com/charmbracelet/bubbletea"
 
+	"pumicefront/statusclient"
 	"pumicefront/zones"
 )
 
+// Fetch asks controllers, one after the other, until one that leads answers.
+func Fetch(ctx context.Context, addresses []string) (zones.Status, error) {
+	return statusclient.Fetch[zones.Status](ctx, addresses, zones.StatusPath)
+}
+
 // Print writes the status once.
 func Print(ctx context.Context, out io.Writer, addresses []string) error {
 	status, err := Fetch(ctx, addresses)
--- a/zoneview/view_test.go
+++ b/zoneview/view_test.go
@@ -14,6 +14,7 @@
 
 	tea "github.com/charmbracelet/bubbletea"
 
+	"pumicefront/statusclient"
 	"pumicefront/zones"
 )
 
@@ -60,7 +61,7 @@
 		}
 	}
 	err := Print(context.Background(), &out, []string{follower, broken, odd})
-	if !errors.Is(err, ErrNoLeader) || !strings.Contains(err.Error(), `"n1"`) || !strings.Contains(err.Error(), "503") {
+	if !errors.Is(err, statusclient.ErrNoLeader) || !strings.Contains(err.Error(), `"n1"`) || !strings.Contains(err.Error(), "503") {
 		t.Errorf("without a leader: %v", err)
 	}
 }
@@ -71,7 +72,7 @@
 	defer close(gone)
 	silent := endpoint(t, func(http.ResponseWriter) { <-gone })
 	began := time.Now()
-	if _, err := Fetch(context.Background(), []string{silent}); err == nil || time.Since(began) > 2*askTimeout {
+	if _, err := Fetch(context.Background(), []string{silent}); err == nil || time.Since(began) > 2*statusclient.AskTimeout {
 		t.Errorf("%v after %v", err, time.Since(began))
 	}
 }
@@ -82,8 +83,8 @@
 		t.Errorf("at first: %s", m.View())
 	}
 	m, _ = m.Update(fetched{status: leading})
-	m, next := m.Update(fetched{err: ErrNoLeader})
-	if view := m.View(); !strings.Contains(view, "east") || !strings.Contains(view, ErrNoLeader.Error()) || next == nil {
+	m, next := m.Update(fetched{err: statusclient.ErrNoLeader})
+	if view := m.View(); !strings.Contains(view, "east") || !strings.Contains(view, statusclient.ErrNoLeader.Error()) || next == nil {
 		t.Errorf("after a failure: %s", view)
 	}
 	if _, end := m.Update(tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune("q")}); end == nil || end() != tea.Quit() {
