--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -18,7 +18,7 @@
 	Worlds []*World
 
 	rng      *rand.Rand
-	cut      map[[2]int]bool // links between cells, by their places
+	cut      map[[2]int]bool // links between cells, by their places, from and to
 	lossless bool
 	homes    map[string]*World // of jobs, by id
 	ran      map[string]int    // tasks that have started in another cell than their home
@@ -146,7 +146,7 @@
 		return
 	}
 	w.after(w.latency()*4, carry(func(r controller.CellReply) {
-		if !c.cut[[2]int{w.place, to.place}] && (c.lossless || c.rng.Float64() > 0.05) {
+		if !c.cut[[2]int{to.place, w.place}] && (c.lossless || c.rng.Float64() > 0.05) {
 			w.after(w.latency()*4, func() { reply(r) })
 		}
 	}))
--- a/internal/sim/cluster_test.go
+++ b/internal/sim/cluster_test.go
@@ -77,6 +77,17 @@
 				c.Worlds[0].after(time.Duration(45+20*i)*time.Second, func() { c.SetLink(0, i, true) })
 			}
 		},
+		"answers are lost": func(c *Cluster) {
+			for i := 1; i < 4; i++ {
+				c.Worlds[0].after(time.Duration(15+20*i)*time.Second, func() { c.cut[[2]int{i, 0}] = true })
+				c.Worlds[0].after(time.Duration(50+20*i)*time.Second, func() { c.cut[[2]int{i, 0}] = false })
+			}
+		},
+		"all cells are full": func(c *Cluster) {
+			for _, w := range c.Worlds[1:] {
+				w.after(20*time.Second, func() { w.users.arrive(w.shape.ArrivalInterval / 3) })
+			}
+		},
 		"the home fails": func(c *Cluster) {
 			w := c.Worlds[0]
 			for _, at := range []time.Duration{40 * time.Second, 80 * time.Second, 110 * time.Second} {
