--- a/controller/zone_recovery_test.go
+++ b/controller/zone_recovery_test.go
@@ -150,7 +150,10 @@
 	limited := func() bool {
 		ds := l.demands()
 		l.zones.limitStarts(ds)
-		return len(ds) == 1 && ds[0].Limits["a"] != nil
+		if len(ds) != 1 || ds[0].Phase != scheduler.RestartRest {
+			t.Fatalf("%d demands, the first %+v", len(ds), ds[0])
+		}
+		return ds[0].Limits["a"] != nil
 	}
 	if !limited() {
 		t.Fatal("not limited at first")
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -13,17 +13,19 @@
 	named := func(job string, service bool, phase RestartPhase) *Demand {
 		return &Demand{Job: job, Service: service, Rank: 2, Phase: phase, WithinGuarantee: true}
 	}
-	aged, borrowed := named("d-aged", false, RestartRest), named("g-borrowed", false, RestartTimelyBatches)
+	// By all that comes after the phase, work and name, they would stand the other way round.
+	aged, borrowed := named("f-aged", false, RestartRest), named("a-borrowed", false, RestartTimelyBatches)
 	aged.Aged, aged.AgeS, borrowed.WithinGuarantee = true, 100, false
-	ds := []*Demand{named("f-rest", false, RestartRest), borrowed, named("b-service", true, RestartServices),
-		named("e-timely", false, RestartTimelyBatches), aged, named("a-prod", true, RestartProdServices)}
-	ds[5].Rank, ds[2].WorkS, ds[5].WorkS = 0, 1, 9
+	prod, other := named("z-prod", true, RestartProdServices), named("b-service", true, RestartServices)
+	timely, rest := named("y-timely", false, RestartTimelyBatches), named("c-rest", false, RestartRest)
+	prod.WorkS, timely.WorkS = 9, 9
+	ds := []*Demand{rest, borrowed, other, timely, aged, prod}
 	Order(ds)
 	var got []string
 	for _, d := range ds {
 		got = append(got, d.Job)
 	}
-	if want := []string{"a-prod", "b-service", "d-aged", "e-timely", "f-rest", "g-borrowed"}; !slices.Equal(got, want) {
+	if want := []string{"z-prod", "b-service", "f-aged", "y-timely", "c-rest", "a-borrowed"}; !slices.Equal(got, want) {
 		t.Errorf("order %v, want %v", got, want)
 	}
 }
