scheduler: the order of services before guarantees has a test that its removal fails

Change: in the order's test the prod service is beyond its guarantee. Result: run: without phases, without the phase in the order and without servicePhase a test fails each.

--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -18,7 +18,7 @@
 	aged.Aged, aged.AgeS, borrowed.WithinGuarantee = true, 100, false
 	prod, other := named("z-prod", true, RestartProdServices), named("b-service", true, RestartServices)
 	timely, rest := named("y-timely", false, RestartTimelyBatches), named("c-rest", false, RestartRest)
-	prod.WorkS, timely.WorkS = 9, 9
+	prod.WorkS, prod.WithinGuarantee, timely.WorkS = 9, false, 9 // services first, whatever their guarantee
 	ds := []*Demand{rest, borrowed, other, timely, aged, prod}
 	Order(ds)
 	var got []string
