Read once more: doubles of the zones' and cells' code made one, derived state dropped

Need: the change wrote some things twice or beside a twin that was there: three ways to find out what became of a write, two writes of a header for a user, two status handlers and servers, the size of what a job has left, five times 'the first reply counts', two drivers of measurements, two cluster builders. A round's start limits were kept in a field between two calls, and what is lent was summed up again for every message of a call. Change: findOut, updateHeader, leadingCell, tasksLeft and sizeLeft, serveStatus and operatorsServer, once, measure; limits are passed on; room once a call. Behaviour as before, but the zones' endpoint has a read timeout too, and a leader that stepped down no longer reads a zone's or a floor's record in vain.

--- a/controller/cell_gone.go
+++ b/controller/cell_gone.go
@@ -30,18 +30,18 @@
 
 // declareGone records who vouches for a cell's having ended all that it was granted.
 func (c *Core) declareGone(r CellGoneRequest) {
-	l := c.lead
-	if l == nil || !l.recovered || l.cells == nil || !c.entitled() || !c.now.Before(l.authority) {
+	s := c.leadingCell()
+	if s == nil {
 		c.emit(Answer{Req: r.Req, Status: http.StatusServiceUnavailable})
 		return
 	}
-	if l.cells.links[r.Cell] == nil || r.By == "" {
+	if s.links[r.Cell] == nil || r.By == "" {
 		c.emit(Answer{Req: r.Req, Status: http.StatusBadRequest})
 		return
 	}
 	key := gonePrefix + string(r.Cell)
 	set := put(key, goneRecord{Epoch: c.control.epoch, By: r.By, AtMS: c.now.UnixMilli()})
-	txn := wire.Txn{If: []wire.Cond{l.leadershipCondition(), {Key: epochKey, Version: c.control.versions[epochKey]}}, Then: []wire.Change{set}}
+	txn := wire.Txn{If: []wire.Cond{s.leadershipCondition(), {Key: epochKey, Version: c.control.versions[epochKey]}}, Then: []wire.Change{set}}
 	c.log(slog.LevelInfo, "cell declared gone", "cell", r.Cell, "by", r.By, "epoch", c.control.epoch)
 	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(reply StateReply) {
 		if reply.Status == http.StatusOK {
--- a/controller/cell_holder.go
+++ b/controller/cell_holder.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"pumicefront/cells"
-	"pumicefront/reduction"
 	"pumicefront/wire"
 )
 
@@ -18,27 +17,27 @@
 // cellRequest answers another cell with what is on record for it; only the leader can. What a
 // message changes is recorded first and told when it is asked for again.
 func (c *Core) cellRequest(r CellRequest) {
-	l := c.lead
-	if l == nil || !l.recovered || !c.entitled() || !c.now.Before(l.authority) || l.cells == nil || l.cells.links[r.From] == nil || !l.cells.ready() {
+	s := c.leadingCell()
+	if s == nil || s.links[r.From] == nil || !s.ready() {
 		c.emit(Answer{Req: r.Req, Status: http.StatusServiceUnavailable, Body: CellAnswer{}})
 		return
 	}
-	s := l.cells
 	s.raiseFloor(r.From, r.Floor)
 	answer := CellAnswer{Room: s.lends()}
 	for _, m := range r.Messages {
 		if m.From != r.From || m.To != s.self() || !wire.ValidID(m.Job) {
 			continue
 		}
-		if status, known := s.receive(m); known {
+		if status, known := s.receive(m, answer.Room); known {
 			answer.Messages = append(answer.Messages, CellMessage{Message: status})
 		}
 	}
 	c.emit(Answer{Req: r.Req, Status: http.StatusOK, Body: answer})
 }
 
-// receive applies a message from a home, and returns what is on record about it.
-func (s *cellSide) receive(m CellMessage) (cells.Message, bool) {
+// receive applies a message from a home, while so many cores are lent, and returns what is on record
+// about it.
+func (s *cellSide) receive(m CellMessage, room float64) (cells.Message, bool) {
 	h, key := s.c.control.headers[m.Job], fenceKey(m.From, m.Job)
 	held := h != nil && h.Origin != nil && h.Origin.Home == m.From
 	record := cells.HolderRecord{}
@@ -52,7 +51,7 @@
 	}
 	next, changed := record.Receive(m.Message, cells.Facts{
 		KnowsJob: h != nil && !held || s.finished(m.Job), KnowsTeam: m.Spec != nil && s.knowsTeam(m.Spec),
-		Willing: m.Spec != nil && s.willing(m.Spec), Floor: s.floor(m.From).epoch,
+		Willing: m.Spec != nil && s.willing(m.Spec, room), Floor: s.floor(m.From).epoch,
 	})
 	if !changed {
 		return next.Status(s.self()), next.State != cells.HolderNone
@@ -80,10 +79,10 @@
 	return known
 }
 
-// willing reports whether a job can run here and fits into what is lent now.
-func (s *cellSide) willing(spec *wire.Job) bool {
+// willing reports whether a job can run here and fits into the room that is lent.
+func (s *cellSide) willing(spec *wire.Job, room float64) bool {
 	return spec.Kind == wire.KindArray && len(s.c.types) > 0 && s.c.canRun(spec) &&
-		s.lends() >= s.c.measure.Of(jobEach(spec))*float64(spec.Tasks)
+		room >= s.c.measure.Of(jobEach(spec))*float64(spec.Tasks)
 }
 
 // lends is how much is lent still: what operators lend, less what others' unfinished jobs take.
@@ -91,7 +90,7 @@
 	left := s.c.op.Cell.LendCores
 	for _, j := range s.order {
 		if j.origin != nil {
-			left -= s.c.measure.Of(jobEach(&j.spec)) * float64(j.spec.Tasks-j.state.Count(reduction.Completed))
+			left -= s.sizeLeft(j)
 		}
 	}
 	return max(left, 0)
@@ -157,22 +156,12 @@
 // rereadFence finds out what is recorded of a fence.
 func (s *cellSide) rereadFence(key string) {
 	s.fences[key] = &keptFence{unsure: true}
-	s.c.state(StateCall{Op: OpGet, Key: key, Timeout: leadCallTimeout}, func(r StateReply) {
-		if s.c.lead != s.leader {
-			return
-		}
-		switch r.Status {
-		case http.StatusOK:
-			s.addFence(r.Item)
-		case http.StatusNotFound:
+	s.findOut(key, func(it *wire.Item) {
+		if it == nil {
 			delete(s.fences, key)
-		default:
-			s.c.after(retryPause, func() {
-				if s.c.lead == s.leader {
-					s.rereadFence(key)
-				}
-			})
+			return
 		}
+		s.addFence(*it)
 	})
 }
 
@@ -279,16 +268,12 @@
 
 // rereadFloor finds out which floor is recorded.
 func (s *cellSide) rereadFloor(home cells.Cell, floor *keptFloor) {
-	s.c.state(StateCall{Op: OpGet, Key: floorKey(home), Timeout: leadCallTimeout}, func(r StateReply) {
-		switch {
-		case s.c.lead != s.leader:
-		case r.Status == http.StatusOK:
-			s.addFloor(r.Item)
-		case r.Status == http.StatusNotFound:
+	s.findOut(floorKey(home), func(it *wire.Item) {
+		if it == nil {
 			*floor = keptFloor{}
-		default:
-			s.c.after(retryPause, func() { s.rereadFloor(home, floor) })
+			return
 		}
+		s.addFloor(*it)
 	})
 }
 
@@ -318,7 +303,7 @@
 	if h == nil || h.Origin == nil {
 		h = &headerRecord{Job: j.spec, Origin: j.origin}
 	}
-	record, _ := holderRecord(j.id, h).Finish(j.state.Count(reduction.Completed) == j.spec.Tasks)
+	record, _ := holderRecord(j.id, h).Finish(j.tasksLeft() == 0)
 	w.final = &finalRecord{Cancelled: j.cancelled, Tasks: j.spec.Tasks}
 	w.txn.Then = []wire.Change{put(key, fenceRecord{record.Epoch, record.Result}), {Delete: headerKey(j.id)}}
 	if l.cells != nil {
--- a/controller/cell_home.go
+++ b/controller/cell_home.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 	"slices"
 	"time"
 
@@ -34,17 +33,12 @@
 	for _, move := range cells.Plan(s.waitingForRoom(), s.roomElsewhere()) {
 		j, link := s.jobs[move.Job], s.links[move.To]
 		if s.grant(j, link) {
-			link.room -= s.sizeOf(j)
+			link.room -= s.sizeLeft(j)
 			return
 		}
 	}
 }
 
-// sizeOf is a job's size with all its tasks.
-func (s *cellSide) sizeOf(j *job) float64 {
-	return s.c.measure.Of(jobEach(&j.spec)) * float64(j.spec.Tasks)
-}
-
 // waitingForRoom lists the jobs that may go elsewhere now, those that wait longest first.
 func (s *cellSide) waitingForRoom() []cells.Waiting {
 	var jobs []*job
@@ -60,7 +54,7 @@
 	slices.SortStableFunc(jobs, func(a, b *job) int { return a.ready.Compare(b.ready) })
 	waiting := make([]cells.Waiting, 0, len(jobs))
 	for _, j := range jobs {
-		waiting = append(waiting, cells.Waiting{Job: j.id, Size: s.sizeOf(j)})
+		waiting = append(waiting, cells.Waiting{Job: j.id, Size: s.sizeLeft(j)})
 	}
 	return waiting
 }
@@ -119,7 +113,7 @@
 	if j.grant == nil {
 		return scheduler.Resources{}
 	}
-	return scheduler.Resources{}.Add(jobEach(&j.spec), float64(j.spec.Tasks-j.state.Count(reduction.Completed)))
+	return scheduler.Resources{}.Add(jobEach(&j.spec), float64(j.tasksLeft()))
 }
 
 // abortGranted answers the cancellation of a job that another cell may run: it is asked for there,
@@ -134,15 +128,5 @@
 		c.retryLater(r.Req, "too many changes")
 		return
 	}
-	raw := wire.Marshal(withHome(h, next))
-	txn := wire.Txn{
-		If:   []wire.Cond{{Key: headerKey(r.Job), Version: c.control.versions[headerKey(r.Job)]}},
-		Then: []wire.Change{{Put: headerKey(r.Job), Value: raw}},
-	}
-	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
-		if reply.Status == http.StatusOK {
-			c.written(wire.Event{Put: headerKey(r.Job), Value: raw, Version: reply.Txn.Revision})
-		}
-		c.retryLater(r.Req, "another cell has the job")
-	})
+	c.updateHeader(r.Job, wire.Marshal(withHome(h, next)), func(int) { c.retryLater(r.Req, "another cell has the job") })
 }
--- a/controller/cell_links.go
+++ b/controller/cell_links.go
@@ -67,6 +67,14 @@
 	return s
 }
 
+// leadingCell is the side of a leader that may record something now; nil: this controller is none.
+func (c *Core) leadingCell() *cellSide {
+	if l := c.lead; l != nil && l.recovered && c.entitled() && c.now.Before(l.authority) {
+		return l.cells
+	}
+	return nil
+}
+
 func (s *cellSide) self() cells.Cell { return cells.Cell(s.c.op.Cell.Name) }
 
 // ready reports whether every controller of this cell knows that jobs go from cell to cell.
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -120,6 +120,12 @@
 }
 
 // workLeft estimates what is left of a job: the sizes of its tasks times seconds.
-func (l *leader) workLeft(j *job) float64 {
-	return float64(j.spec.Tasks-j.state.Count(reduction.Completed)) * l.c.measure.Of(jobEach(&j.spec)) * j.spec.EstimateS
+func (l *leader) workLeft(j *job) float64 { return l.sizeLeft(j) * j.spec.EstimateS }
+
+// sizeLeft is the size of the tasks that a job has left.
+func (l *leader) sizeLeft(j *job) float64 {
+	return float64(j.tasksLeft()) * l.c.measure.Of(jobEach(&j.spec))
 }
+
+// tasksLeft is how many tasks are not done.
+func (j *job) tasksLeft() int { return j.spec.Tasks - j.state.Count(reduction.Completed) }
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -38,7 +38,7 @@
 	if len(demands) == 0 {
 		return
 	}
-	l.zones.limitStarts(demands)
+	limits := l.zones.limitStarts(demands)
 	all := l.view(true)
 	machines := slices.DeleteFunc(slices.Clone(all), func(m *scheduler.Machine) bool { return m.Virtual })
 	demands = scheduler.OrderWithAging(demands, l.reserve(machines))
@@ -75,7 +75,7 @@
 			}
 		}
 	}
-	l.zones.noteHeldBack()
+	l.zones.noteHeldBack(limits)
 }
 
 // placeSome places what has room, takes it off the demand, and counts it. What is
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"pumicefront/config"
-	"pumicefront/reduction"
 	"pumicefront/scheduler"
 )
 
@@ -89,8 +88,7 @@
 // within reports whether a job fits into its team's guarantee together with the
 // team's jobs that come before it, and adds it to those.
 func (l *leader) within(j *job, earlier map[string]scheduler.Resources) bool {
-	left := j.spec.Tasks - j.state.Count(reduction.Completed)
-	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(left))
+	sum := earlier[j.spec.Team].Add(jobEach(&j.spec), float64(j.tasksLeft()))
 	earlier[j.spec.Team] = sum
 	return l.c.quotas[j.spec.Team].guarantee.Fits(sum) > 0
 }
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"net/http"
 	"slices"
 
 	"pumicefront/reduction"
@@ -49,6 +50,26 @@
 	})
 }
 
+// findOut reads a key until it is known what is recorded there, as after a write without an answer;
+// fn gets nil where nothing is. It ends when this controller leads no more.
+func (l *leader) findOut(key string, fn func(*wire.Item)) {
+	l.c.state(StateCall{Op: OpGet, Key: key, Timeout: leadCallTimeout}, func(r StateReply) {
+		switch {
+		case l.c.lead != l:
+		case r.Status == http.StatusOK:
+			fn(&r.Item)
+		case r.Status == http.StatusNotFound:
+			fn(nil)
+		default:
+			l.c.after(retryPause, func() {
+				if l.c.lead == l {
+					l.findOut(key, fn)
+				}
+			})
+		}
+	})
+}
+
 // readOptional reads the records of what operators have switched on.
 func (l *leader) readOptional(read func(prefix string, next func([]wire.Item)), done func()) {
 	fences := func() {
--- a/controller/user_requests.go
+++ b/controller/user_requests.go
@@ -170,15 +170,9 @@
 			c.retryLater(r.Req, "too many changes")
 			return
 		}
-		raw := cancelledHeader(*h, c.cfg.Facts.State.Tightest().ValueKB)
-		txn := wire.Txn{
-			If:   []wire.Cond{{Key: headerKey(r.Job), Version: c.control.versions[headerKey(r.Job)]}},
-			Then: []wire.Change{{Put: headerKey(r.Job), Value: raw}},
-		}
-		c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
-			switch reply.Status {
+		c.updateHeader(r.Job, cancelledHeader(*h, c.cfg.Facts.State.Tightest().ValueKB), func(status int) {
+			switch status {
 			case http.StatusOK:
-				c.written(wire.Event{Put: headerKey(r.Job), Value: raw, Version: reply.Txn.Revision})
 				c.answer(r.Req, http.StatusOK, wire.JobState{ID: r.Job, State: wire.StateCancelled})
 			case http.StatusConflict:
 				c.abort(r, tries-1)
@@ -188,3 +182,16 @@
 		})
 	})
 }
+
+// updateHeader writes a job's header anew for a user, on the condition that it is as this controller
+// knows it, and tells the status.
+func (c *Core) updateHeader(id string, raw []byte, fn func(status int)) {
+	key := headerKey(id)
+	txn := wire.Txn{If: []wire.Cond{{Key: key, Version: c.control.versions[key]}}, Then: []wire.Change{{Put: key, Value: raw}}}
+	c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: userCallTimeout}, func(reply StateReply) {
+		if reply.Status == http.StatusOK {
+			c.written(wire.Event{Put: key, Value: raw, Version: reply.Txn.Revision})
+		}
+		fn(reply.Status)
+	})
+}
--- a/controller/zone_records.go
+++ b/controller/zone_records.go
@@ -102,7 +102,11 @@
 			return
 		}
 		if r.Status != http.StatusOK {
-			z.c.after(retryPause, func() { z.rereadRecord(name) })
+			z.c.after(retryPause, func() {
+				if z.c.lead == z.leader {
+					z.rereadRecord(name)
+				}
+			})
 			return
 		}
 		*kept = keptZone{}
@@ -114,21 +118,14 @@
 
 // rereadRecord finds out what became of a write that was not confirmed.
 func (z *zoneRecovery) rereadRecord(name string) {
-	z.c.state(StateCall{Op: OpGet, Key: zonePrefix + name, Timeout: leadCallTimeout}, func(r StateReply) {
-		kept := z.records[name]
-		if z.c.lead != z.leader || kept == nil {
-			return
-		}
-		switch r.Status {
-		case http.StatusOK:
-			*kept = keptZone{version: r.Item.Version}
-			if rec := decode[zones.Record](r.Item.Value); rec != nil {
+	z.findOut(zonePrefix+name, func(it *wire.Item) {
+		kept := keptZone{}
+		if it != nil {
+			kept.version = it.Version
+			if rec := decode[zones.Record](it.Value); rec != nil {
 				kept.record = *rec
 			}
-		case http.StatusNotFound:
-			*kept = keptZone{}
-		default:
-			z.c.after(retryPause, func() { z.rereadRecord(name) })
 		}
+		*z.records[name] = kept
 	})
 }
--- a/controller/zone_recovery.go
+++ b/controller/zone_recovery.go
@@ -31,7 +31,6 @@
 	lookedAt  time.Time
 	look      []zones.Health
 	waiting   map[*job]time.Time // jobs with tasks to place while zones recover, since when
-	limits    map[string]*scheduler.StartLimit
 	displaced map[displacedTask]displacement
 	open      map[string]bool // zones whose recovery is not over, see finishRecoveries
 	givenUp   []givenUpMachine
@@ -155,24 +154,25 @@
 	z.wantPlacement()
 }
 
-// limitStarts orders the demands of a round for restarts and bounds their starts by zone.
-func (z *zoneRecovery) limitStarts(demands []*scheduler.Demand) {
+// limitStarts orders the demands of a round for restarts and bounds their starts by zone. It returns
+// the bounds, see noteHeldBack.
+func (z *zoneRecovery) limitStarts(demands []*scheduler.Demand) map[string]*scheduler.StartLimit {
 	if !z.recovering() {
 		if z != nil {
 			clear(z.waiting)
-			z.limits = nil
 		}
-		return
+		return nil
 	}
-	z.limits = z.startLimits()
+	limits := z.startLimits()
 	z.noteWaiting(demands)
 	for _, d := range demands {
 		j := z.jobs[d.Job]
-		z.prepare(d, &j.spec)
+		z.prepare(d, j)
 		if z.waited(d, j) < limitedWait {
-			d.Limits = z.limits
+			d.Limits = limits
 		}
 	}
+	return limits
 }
 
 // closeZones keeps demands for rentals from counting on zones that take nothing now, and orders
@@ -190,7 +190,7 @@
 	for _, d := range demands {
 		d.Limits = closed
 		if j := z.jobs[d.Job]; j != nil {
-			z.prepare(d, &j.spec)
+			z.prepare(d, j)
 		} else {
 			d.Phase = scheduler.RestartRest // headroom, or not accepted yet
 		}
@@ -198,8 +198,8 @@
 }
 
 // prepare tells the scheduler what of a job matters while zones recover.
-func (z *zoneRecovery) prepare(d *scheduler.Demand, spec *wire.Job) {
-	d.Phase, d.OnlyZone = z.restartPhase(z.jobs[d.Job]), z.onlyZone(spec)
+func (z *zoneRecovery) prepare(d *scheduler.Demand, j *job) {
+	d.Phase, d.OnlyZone = z.restartPhase(j), z.onlyZone(&j.spec)
 }
 
 // onlyZone is the zone that has all machine types that a job may use, if there is just one.
@@ -278,11 +278,8 @@
 }
 
 // noteHeldBack tells the tracker, after a round, in which zones starts were held back.
-func (z *zoneRecovery) noteHeldBack() {
-	if z == nil {
-		return
-	}
-	for name, limit := range z.limits {
+func (z *zoneRecovery) noteHeldBack(limits map[string]*scheduler.StartLimit) {
+	for name, limit := range limits {
 		if limit.HeldBack {
 			z.tracker.HeldBack(z.c.now, name)
 		}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -25,14 +25,11 @@
 }
 
 func (c *cloud) call(n *node, call controller.CloudCall) {
-	w, life, done := c.w, n.life, false
-	reply := func(r controller.CloudReply) {
-		if !done {
-			done = true
-			r.ID = call.ID
-			n.deliver(life, r)
-		}
-	}
+	w, life := c.w, n.life
+	reply := once(func(r controller.CloudReply) {
+		r.ID = call.ID
+		n.deliver(life, r)
+	})
 	w.after(call.Timeout, func() { reply(controller.CloudReply{}) })
 	lost := w.chance(0.02)
 	delay := w.between(20*time.Millisecond, 150*time.Millisecond)
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -28,14 +28,10 @@
 // NewCluster returns so many cells. The first has few machines of its own and lends nothing; the
 // others lend so many cores.
 func NewCluster(seed uint64, count int, lend float64) *Cluster {
-	c := &Cluster{rng: rand.New(rand.NewPCG(seed, 99)), cut: map[[2]int]bool{}, homes: map[string]*World{}, ran: map[string]int{}}
+	c := emptyCluster(seed)
 	for i := range count {
-		shape := Cell
-		if i == 0 {
-			shape.Machines = 8
-		}
-		w := New(seed*10+uint64(i), shape)
-		w.cluster, w.place = c, i
+		w := New(seed*10+uint64(i), cellShape(i, 8))
+		c.add(w)
 		settings := config.Cell{Name: cellName(i), SpillAfter: 6 * time.Second, ReturnAfter: 20 * time.Second, LendCores: lend}
 		if i == 0 {
 			settings.LendCores = 0
@@ -46,7 +42,6 @@
 			}
 		}
 		w.op.Cell = &settings
-		c.Worlds = append(c.Worlds, w)
 	}
 	for _, w := range c.Worlds {
 		for _, n := range w.nodes {
@@ -59,22 +54,34 @@
 // NewLiveCluster returns so many cells without controllers: real ones are added to each. The first
 // has few machines of its own.
 func NewLiveCluster(ctx context.Context, seed uint64, count int) *Cluster {
-	c := &Cluster{rng: rand.New(rand.NewPCG(seed, 99)), homes: map[string]*World{}, ran: map[string]int{}}
+	c := emptyCluster(seed)
 	for i := range count {
-		shape := Cell
-		if i == 0 {
-			shape.Machines = 4
-		}
-		w := NewLive(ctx, seed*10+uint64(i), shape)
-		w.cluster, w.place = c, i
-		if i > 0 {
-			w.live.inputs = c.Worlds[0].live.inputs
-		}
-		c.Worlds = append(c.Worlds, w)
+		w := NewLive(ctx, seed*10+uint64(i), cellShape(i, 4))
+		c.add(w)
+		w.live.inputs = c.Worlds[0].live.inputs
 	}
 	return c
 }
 
+func emptyCluster(seed uint64) *Cluster {
+	return &Cluster{rng: rand.New(rand.NewPCG(seed, 99)), cut: map[[2]int]bool{}, homes: map[string]*World{}, ran: map[string]int{}}
+}
+
+// cellShape is a cell's shape; the first has so few machines.
+func cellShape(place, few int) Shape {
+	shape := Cell
+	if place == 0 {
+		shape.Machines = few
+	}
+	return shape
+}
+
+// add makes a world a cell of the cluster.
+func (c *Cluster) add(w *World) {
+	w.cluster, w.place = c, len(c.Worlds)
+	c.Worlds = append(c.Worlds, w)
+}
+
 // RunLive plays all cells for so long in real time, or until the first broken rule.
 func (c *Cluster) RunLive(duration time.Duration) error { return runLive(c.Worlds, duration) }
 
@@ -122,14 +129,11 @@
 
 // call carries a call from one cell's leader to the controllers of another one, tried in turn.
 func (c *Cluster) call(n *node, call controller.CellCall) {
-	w, life, done := n.w, n.life, false
-	reply := func(r controller.CellReply) {
-		if !done {
-			done = true
-			r.ID = call.ID
-			n.deliver(life, r)
-		}
-	}
+	w, life := n.w, n.life
+	reply := once(func(r controller.CellReply) {
+		r.ID = call.ID
+		n.deliver(life, r)
+	})
 	w.after(3*time.Second, func() { reply(controller.CellReply{}) })
 	to := c.world(string(call.To))
 	carry := func(answer func(controller.CellReply)) func() {
--- a/internal/sim/measure_test.go
+++ b/internal/sim/measure_test.go
@@ -11,33 +11,24 @@
 // TestMeasureZoneRecovery prints the table of docs/zone-recovery.md; it is run by hand:
 // PUMICEFRONT_ZONE_MEASURE=400,4000 go test -v -timeout 30m ./internal/sim -run TestMeasureZoneRecovery
 func TestMeasureZoneRecovery(t *testing.T) {
-	sizes := os.Getenv("PUMICEFRONT_ZONE_MEASURE")
-	if sizes == "" {
-		t.Skip("run by hand, see the comment")
-	}
-	for _, size := range strings.Split(sizes, ",") {
-		machines, err := strconv.Atoi(size)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for seed := range uint64(runsOf("PUMICEFRONT_ZONE_SEEDS", 3)) {
-			for _, on := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%d/%d/%v", machines, seed, on), func(t *testing.T) {
-					m := measureZone(machines, seed, on)
-					t.Log(m)
-					for _, r := range m.rules {
-						t.Error(r)
-					}
-				})
-			}
-		}
-	}
+	measure(t, "PUMICEFRONT_ZONE_MEASURE", "PUMICEFRONT_ZONE_SEEDS", []string{"false", "true"}, func(machines int, seed uint64, mode string) (fmt.Stringer, []string) {
+		m := measureZone(machines, seed, mode == "true")
+		return m, m.rules
+	})
 }
 
 // TestMeasureCells prints the figures of docs/cells.md; it is run by hand:
 // PUMICEFRONT_CELL_MEASURE=40,200 go test -v -timeout 30m ./internal/sim -run TestMeasureCells
 func TestMeasureCells(t *testing.T) {
-	sizes := os.Getenv("PUMICEFRONT_CELL_MEASURE")
+	measure(t, "PUMICEFRONT_CELL_MEASURE", "PUMICEFRONT_CELL_RUNS", []string{"off", "on", "holder lost"}, func(machines int, seed uint64, mode string) (fmt.Stringer, []string) {
+		m := measureCells(machines, seed, mode)
+		return m, m.rules
+	})
+}
+
+// measure plays the sizes that a variable lists, with as many seeds as another one says, in each mode.
+func measure(t *testing.T, sizesVariable, seedsVariable string, modes []string, play func(machines int, seed uint64, mode string) (result fmt.Stringer, rules []string)) {
+	sizes := os.Getenv(sizesVariable)
 	if sizes == "" {
 		t.Skip("run by hand, see the comment")
 	}
@@ -46,12 +37,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for seed := range uint64(runsOf("PUMICEFRONT_CELL_RUNS", 3)) {
-			for _, mode := range []string{"off", "on", "holder lost"} {
+		for seed := range uint64(runsOf(seedsVariable, 3)) {
+			for _, mode := range modes {
 				t.Run(fmt.Sprintf("%d/%d/%s", machines, seed, mode), func(t *testing.T) {
-					m := measureCells(machines, seed, mode)
-					t.Log(m)
-					for _, r := range m.rules {
+					result, rules := play(machines, seed, mode)
+					t.Log(result)
+					for _, r := range rules {
 						t.Error(r)
 					}
 				})
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -229,18 +229,14 @@
 // callState carries a call to the store and the reply back. A reply may be lost
 // and a transaction may be applied late.
 func (n *node) callState(call controller.StateCall) {
-	w, life, done := n.w, n.life, false
-	reply := func(r controller.StateReply) {
-		if done {
-			return
-		}
-		done = true
+	w, life := n.w, n.life
+	reply := once(func(r controller.StateReply) {
 		r.ID = call.ID
 		if w.Tamper.StateReply != nil {
 			w.Tamper.StateReply(&call, &r)
 		}
 		n.deliver(life, r)
-	}
+	})
 	w.after(call.Timeout, func() { reply(controller.StateReply{}) })
 	if w.Tamper.State != nil {
 		if r, ok := w.Tamper.State(&call); ok {
@@ -273,15 +269,12 @@
 
 // callWorker sends direct commands; a cut machine gets them when the cut ends.
 func (n *node) callWorker(call controller.WorkerCall) {
-	w, life, done := n.w, n.life, false
+	w, life := n.w, n.life
 	h := w.host(call.Machine)
-	reply := func(r controller.WorkerReply) {
-		if !done {
-			done = true
-			r.ID, r.Machine = call.ID, call.Machine
-			n.deliver(life, r)
-		}
-	}
+	reply := once(func(r controller.WorkerReply) {
+		r.ID, r.Machine = call.ID, call.Machine
+		n.deliver(life, r)
+	})
 	w.after(call.Timeout, func() { reply(controller.WorkerReply{}) })
 	if h == nil {
 		return
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -160,13 +160,7 @@
 
 // requestOf sends to one node.
 func (u *users) requestOf(n *node, r controller.UserRequest, fn func(controller.Answer)) {
-	w, done := u.w, false
-	finish := func(a controller.Answer) {
-		if !done {
-			done = true
-			fn(a)
-		}
-	}
+	w, finish := u.w, once(fn)
 	w.after(5*time.Second, func() { finish(controller.Answer{}) })
 	w.after(w.latency(), func() {
 		if n.down() {
--- a/server/cells.go
+++ b/server/cells.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"encoding/json"
 	"log/slog"
 	"net/http"
 
@@ -26,7 +25,7 @@
 	mux.HandleFunc("POST "+cells.MessagesPath, s.serveCellMessages)
 	mux.HandleFunc("GET "+cells.StatusPath, s.serveCellStatus)
 	mux.HandleFunc("POST "+cells.GonePath, s.serveCellGone)
-	h := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
+	h := operatorsServer(mux)
 	go func() { slog.Info("listener for cells closed", "err", h.Serve(ln)) }()
 	return func() {
 		if err := h.Close(); err != nil {
@@ -35,21 +34,6 @@
 	}, nil
 }
 
-// askForCell has the core answer a request of the listener, or refuses it.
-func (s *Server) askForCell(w http.ResponseWriter, id uint64, in controller.Input) (controller.Answer, bool) {
-	a, ok := s.ask(id, in)
-	if !ok || a.Status != http.StatusOK {
-		w.Header().Set("Retry-After", "1")
-		status := a.Status
-		if !ok || status == 0 { // 0: the state service has not answered
-			status = http.StatusServiceUnavailable
-		}
-		http.Error(w, http.StatusText(status), status)
-		return a, false
-	}
-	return a, true
-}
-
 func (s *Server) serveCellMessages(w http.ResponseWriter, r *http.Request) {
 	in, err := celllink.ReadRequest(r.Body, cells.Cell(s.op.Cell.Name))
 	if err != nil {
@@ -57,7 +41,7 @@
 		return
 	}
 	in.Req = s.nextID.Add(1)
-	a, ok := s.askForCell(w, in.Req, in)
+	a, ok := s.askCore(w, in.Req, in)
 	if !ok {
 		return
 	}
@@ -74,21 +58,14 @@
 
 func (s *Server) serveCellStatus(w http.ResponseWriter, _ *http.Request) {
 	id := s.nextID.Add(1)
-	a, ok := s.askForCell(w, id, controller.CellStatusRequest{Req: id})
-	if !ok {
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(a.Body); err != nil {
-		slog.Debug("answer not written", "err", err)
-	}
+	s.serveStatus(w, id, controller.CellStatusRequest{Req: id})
 }
 
 // serveCellGone takes the operators' word that a cell is gone.
 func (s *Server) serveCellGone(w http.ResponseWriter, r *http.Request) {
 	id := s.nextID.Add(1)
 	in := controller.CellGoneRequest{Req: id, Cell: cells.Cell(r.URL.Query().Get("cell")), By: r.URL.Query().Get("by")}
-	if _, ok := s.askForCell(w, id, in); ok {
+	if _, ok := s.askCore(w, id, in); ok {
 		w.WriteHeader(http.StatusOK)
 	}
 }
--- a/server/zones.go
+++ b/server/zones.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -30,7 +29,9 @@
 	if s.zones, err = openTrace(settings, s.cfg.Member); err != nil {
 		return nil, err
 	}
-	status := &http.Server{Handler: http.HandlerFunc(s.serveZones), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+zones.StatusPath, s.serveZones)
+	status := operatorsServer(mux)
 	if settings.StatusListen != "" {
 		ln, err := listen(settings.StatusListen)
 		if err != nil {
@@ -73,24 +74,7 @@
 }
 
 // serveZones tells operators of the zones.
-func (s *Server) serveZones(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != zones.StatusPath {
-		http.NotFound(w, r)
-		return
-	}
-	if status := method(r, http.MethodGet); status != 0 {
-		http.Error(w, http.StatusText(status), status)
-		return
-	}
+func (s *Server) serveZones(w http.ResponseWriter, _ *http.Request) {
 	id := s.nextID.Add(1)
-	a, ok := s.ask(id, controller.ZoneStatusRequest{Req: id})
-	if !ok {
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, "overloaded", http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(a.Body); err != nil {
-		slog.Debug("answer not written", "err", err)
-	}
+	s.serveStatus(w, id, controller.ZoneStatusRequest{Req: id})
 }
