Cells: calls answer a challenge of the holder's leader, and offers share the room that is lent

Cause: a late copy of a home's call counted as hearing that home, so a cell that was declared gone and is back could start tasks of grants that are over; and the offers of one call, or of two homes at once, were each judged against the same room. Found beside them on reading: the floor was kept down by older grants to other cells, so that such a cell was not told that its own are over, nor before the writes that take them back; and a fence could be written beside an acceptance that is applied and not seen yet. TestForeignJobs asked for raiseFloor alone to count as hearing the home; it asks for the call that answers the challenge instead, and refuses two others.

--- a/celllink/celllink_test.go
+++ b/celllink/celllink_test.go
@@ -39,10 +39,10 @@
 	})
 	leader := peer(t, func(w http.ResponseWriter, r *http.Request) {
 		got, err := ReadRequest(r.Body, "b")
-		if err != nil || r.URL.Path != cells.MessagesPath || got.From != "a" || got.Floor != 6 || !reflect.DeepEqual(got.Messages, sent) {
+		if err != nil || r.URL.Path != cells.MessagesPath || got.From != "a" || got.Floor != 6 || got.Challenge != 12 || !reflect.DeepEqual(got.Messages, sent) {
 			t.Errorf("%+v %v", got, err)
 		}
-		raw, err := WriteAnswer(controller.CellAnswer{Messages: []controller.CellMessage{status}, Room: 12})
+		raw, err := WriteAnswer(controller.CellAnswer{Messages: []controller.CellMessage{status}, Room: 12, Challenge: 13})
 		if err != nil {
 			t.Error(err)
 		}
@@ -50,8 +50,8 @@
 	})
 	client := NewClient(&config.Cell{Name: "a", Peers: []config.CellPeer{{Name: "b", Addresses: []string{follower, leader}}}})
 	for range 2 {
-		got := client.Call(controller.CellCall{ID: 3, To: "b", Floor: 6, Messages: sent})
-		if !got.OK || got.ID != 3 || got.Room != 12 || !reflect.DeepEqual(got.Messages, []controller.CellMessage{status}) {
+		got := client.Call(controller.CellCall{ID: 3, To: "b", Floor: 6, Messages: sent, Challenge: 12})
+		if !got.OK || got.ID != 3 || got.Room != 12 || got.Challenge != 13 || !reflect.DeepEqual(got.Messages, []controller.CellMessage{status}) {
 			t.Errorf("%+v", got)
 		}
 	}
--- a/celllink/client.go
+++ b/celllink/client.go
@@ -46,7 +46,7 @@
 func (c *Client) Call(call controller.CellCall) controller.CellReply {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	body, err := proto.Marshal(&Request{From: string(c.self), Floor: uint64(call.Floor), Messages: encode(call.Messages)})
+	body, err := proto.Marshal(&Request{From: string(c.self), Floor: uint64(call.Floor), Messages: encode(call.Messages), Challenge: uint64(call.Challenge)})
 	if err != nil {
 		return controller.CellReply{ID: call.ID}
 	}
@@ -60,7 +60,7 @@
 			continue
 		}
 		c.prefer(call.To, i)
-		return controller.CellReply{ID: call.ID, OK: true, Messages: messages, Room: reply.Room}
+		return controller.CellReply{ID: call.ID, OK: true, Messages: messages, Room: reply.Room, Challenge: cells.Challenge(reply.Challenge)}
 	}
 	return controller.CellReply{ID: call.ID}
 }
@@ -121,12 +121,12 @@
 	}
 	from := cells.Cell(request.From)
 	messages, err := decode(request.Messages, from, self)
-	return controller.CellRequest{From: from, Floor: cells.Epoch(request.Floor), Messages: messages}, err
+	return controller.CellRequest{From: from, Floor: cells.Epoch(request.Floor), Messages: messages, Challenge: cells.Challenge(request.Challenge)}, err
 }
 
 // WriteAnswer spells the answer to another cell.
 func WriteAnswer(a controller.CellAnswer) ([]byte, error) {
-	raw, err := proto.Marshal(&Reply{Messages: encode(a.Messages), Room: a.Room})
+	raw, err := proto.Marshal(&Reply{Messages: encode(a.Messages), Room: a.Room, Challenge: uint64(a.Challenge)})
 	if err != nil {
 		return nil, fmt.Errorf("answer a cell: %w", err)
 	}
--- a/cells/home.go
+++ b/cells/home.go
@@ -54,12 +54,14 @@
 	return r.State == HomeOffered || r.State == HomeHeld || r.State == HomeRecalling
 }
 
-// Floor returns up to which epoch all grants of a home are over: below each that is open, or the last
-// one that was taken. It only rises, since epochs do and since what is over stays over.
-func Floor(records []HomeRecord, last Epoch) Epoch {
+// Floor returns up to which epoch all grants of a home to one holder are over: below each of these that
+// is open, or the last epoch that was taken. It only rises, since epochs do and since what is over
+// stays over. Grants to others don't count: a holder that was declared gone must learn that all it had
+// is over, however long another one keeps an older grant.
+func Floor(records []HomeRecord, holder Cell, last Epoch) Epoch {
 	floor := last
 	for _, r := range records {
-		if r.open() {
+		if r.open() && r.Holder == holder {
 			floor = min(floor, r.Epoch-1)
 		}
 	}
--- a/cells/message.go
+++ b/cells/message.go
@@ -7,6 +7,11 @@
 // none.
 type Epoch uint64
 
+// Challenge is a number that a holder's leader draws at its election and sends with every answer. A call
+// that carries it back was made after that: a call without it may be a copy from any time before. Zero
+// stands for none.
+type Challenge uint64
+
 // Kind is what a message is for.
 type Kind uint8
 
@@ -23,7 +28,7 @@
 	From, To Cell
 	Job      string
 	Epoch    Epoch
-	Floor    Epoch // from the home: every grant of it up to here is over
+	Floor    Epoch // from the home: every grant of it to this holder up to here is over
 
 	Team   string      // KindOffer: the team that owns the job
 	Cancel bool        // KindRecall: its user has cancelled it
--- a/cells/transfer_test.go
+++ b/cells/transfer_test.go
@@ -164,7 +164,7 @@
 		for _, o := range m.jobs {
 			records = append(records, o.HomeRecord)
 		}
-		msg.Floor = Floor(records, m.last)
+		msg.Floor = Floor(records, r.Holder, m.last)
 		m.send(msg)
 		return
 	}
--- a/controller/cell_gone.go
+++ b/controller/cell_gone.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"slices"
 
 	"pumicefront/cells"
 	"pumicefront/wire"
@@ -10,11 +11,22 @@
 
 // Cells that operators declare gone: no proof can be had of what they hold, so somebody vouches for it.
 
+// isGone reports whether operators vouch for the end of a grant.
+func (s *cellSide) isGone(r cells.HomeRecord) bool {
+	gone, is := s.c.control.gone[r.Holder]
+	return is && r.Epoch <= gone.Epoch
+}
+
+// withoutGone leaves out the grants that operators vouch for. Their cell may be back before the writes
+// that end them are made: it must not be told that they are open.
+func (s *cellSide) withoutGone(open []cells.HomeRecord) []cells.HomeRecord {
+	return slices.DeleteFunc(slices.Clone(open), s.isGone)
+}
+
 // takeFromGone ends the grants of cells that operators have declared gone.
 func (s *cellSide) takeFromGone(open []cells.HomeRecord) {
 	for _, r := range open {
-		h := s.c.control.headers[r.Job]
-		if gone, is := s.c.control.gone[r.Holder]; is && r.Epoch <= gone.Epoch && h != nil {
+		if h := s.c.control.headers[r.Job]; h != nil && s.isGone(r) {
 			s.applyStatus(cells.Message{Kind: cells.KindStatus, From: r.Holder, Job: r.Job, Epoch: r.Epoch,
 				State: cells.HolderEnded, Result: cells.ResultReturned}, h)
 		}
--- a/controller/cell_holder.go
+++ b/controller/cell_holder.go
@@ -22,24 +22,33 @@
 		c.emit(Answer{Req: r.Req, Status: http.StatusServiceUnavailable, Body: CellAnswer{}})
 		return
 	}
+	answers := r.Challenge == s.challenge
+	if answers {
+		s.told[r.From] = max(s.told[r.From], r.Floor)
+	}
 	s.raiseFloor(r.From, r.Floor)
-	answer := CellAnswer{Room: s.lends()}
+	answer := CellAnswer{Challenge: s.challenge}
 	for _, m := range r.Messages {
 		if m.From != r.From || m.To != s.self() || !wire.ValidID(m.Job) {
 			continue
 		}
-		if status, known := s.receive(m, answer.Room); known {
+		if status, known := s.receive(m); known {
 			answer.Messages = append(answer.Messages, CellMessage{Message: status})
 		}
 	}
+	if answers { // nothing would start here for a home that does not carry the challenge back
+		answer.Room = s.lends()
+	}
 	c.emit(Answer{Req: r.Req, Status: http.StatusOK, Body: answer})
 }
 
-// receive applies a message from a home, while so many cores are lent, and returns what is on record
-// about it.
-func (s *cellSide) receive(m CellMessage, room float64) (cells.Message, bool) {
+// receive applies a message from a home and returns what is on record about it.
+func (s *cellSide) receive(m CellMessage) (cells.Message, bool) {
 	h, key := s.c.control.headers[m.Job], fenceKey(m.From, m.Job)
 	held := h != nil && h.Origin != nil && h.Origin.Home == m.From
+	if a, under := s.accepting[m.Job]; under && !a.doubt && !held && a.home == m.From && a.epoch == m.Epoch && m.Kind == cells.KindOffer {
+		return cells.Message{}, false // it is being recorded
+	}
 	record := cells.HolderRecord{}
 	if fence := s.fences[key]; held {
 		record = holderRecord(m.Job, h)
@@ -51,7 +60,7 @@
 	}
 	next, changed := record.Receive(m.Message, cells.Facts{
 		KnowsJob: h != nil && !held || s.finished(m.Job), KnowsTeam: m.Spec != nil && s.knowsTeam(m.Spec),
-		Willing: m.Spec != nil && s.willing(m.Spec, room), Floor: s.floor(m.From).epoch,
+		Willing: m.Spec != nil && s.willing(m.Spec), Floor: s.floor(m.From).epoch,
 	})
 	if !changed {
 		return next.Status(s.self()), next.State != cells.HolderNone
@@ -80,14 +89,24 @@
 }
 
 // willing reports whether a job can run here and fits into the room that is lent.
-func (s *cellSide) willing(spec *wire.Job, room float64) bool {
-	return spec.Kind == wire.KindArray && len(s.c.types) > 0 && s.c.canRun(spec) &&
-		room >= s.c.measure.Of(jobEach(spec))*float64(spec.Tasks)
+func (s *cellSide) willing(spec *wire.Job) bool {
+	return spec.Kind == wire.KindArray && len(s.c.types) > 0 && s.c.canRun(spec) && s.lends()+s.accepting[spec.ID].size >= s.size(spec)
+}
+
+// size is how many cores all tasks of a job take.
+func (s *cellSide) size(spec *wire.Job) float64 {
+	return s.c.measure.Of(jobEach(spec)) * float64(spec.Tasks)
 }
 
-// lends is how much is lent still: what operators lend, less what others' unfinished jobs take.
+// lends is how much is lent still: what operators lend, less what others' unfinished jobs take, and
+// those that are being accepted.
 func (s *cellSide) lends() float64 {
 	left := s.c.op.Cell.LendCores
+	for id, a := range s.accepting {
+		if s.jobs[id] == nil {
+			left -= a.size
+		}
+	}
 	for _, j := range s.order {
 		if j.origin != nil {
 			left -= s.sizeLeft(j)
@@ -96,6 +115,39 @@
 	return max(left, 0)
 }
 
+// acceptance is an acceptance that may be on record and is not seen there yet. Its room is taken until
+// its header is seen, or until it is certain that there will be none.
+type acceptance struct {
+	home  cells.Cell
+	epoch cells.Epoch
+	size  float64 // in cores
+	doubt bool    // a write of it got no answer: it may be applied at any time
+}
+
+// acceptanceAnswered notes how the write of a header was answered. A refused one leaves nothing on
+// record, unless an earlier one got no answer.
+func (s *cellSide) acceptanceAnswered(job string, status int) {
+	a, under := s.accepting[job]
+	switch {
+	case !under || status == http.StatusOK:
+	case status == 0:
+		a.doubt = true
+		s.accepting[job] = a
+	case !a.doubt:
+		delete(s.accepting, job)
+	}
+}
+
+// dropAcceptances frees the room of a home's acceptances that can't be written any more, or are over as
+// soon as they are: those up to an epoch, of one job or of all.
+func (s *cellSide) dropAcceptances(home cells.Cell, job string, epoch cells.Epoch) {
+	for id, a := range s.accepting {
+		if a.home == home && a.epoch <= epoch && (job == "" || job == id) {
+			delete(s.accepting, id)
+		}
+	}
+}
+
 // accept records an acceptance in place of the fence, as the header of a job that is nobody's here.
 func (s *cellSide) accept(m CellMessage, record cells.HolderRecord) {
 	if m.Spec.ID != m.Job || s.rewriting[m.Job] {
@@ -117,7 +169,9 @@
 	}
 	s.c.log(slog.LevelInfo, "accepting", "job", m.Job, "home", m.From, "epoch", m.Epoch)
 	delete(s.fences, key)
-	s.rewriteHeader(m.Job, h, conds, more)
+	if s.rewriteHeader(m.Job, h, conds, more) {
+		s.accepting[m.Job] = acceptance{home: m.From, epoch: m.Epoch, size: s.size(m.Spec), doubt: s.accepting[m.Job].doubt}
+	}
 	s.rereadFence(key) // what became of it if the acceptance is not written
 }
 
@@ -136,9 +190,11 @@
 	s.budget.spend(s.c.now, 1, true)
 	version := s.fenceVersion(key)
 	s.fences[key] = &keptFence{version: version, unsure: true}
-	// No header may stand beside it: an acceptance that is applied late would be forgotten.
+	// An acceptance may have been applied that is not seen yet, in place of no fence: then the header has
+	// changed, and a fence beside it would end an epoch that runs here.
+	header := headerKey(record.Job)
 	txn := wire.Txn{
-		If:   []wire.Cond{s.leadershipCondition(), {Key: key, Version: version}},
+		If:   []wire.Cond{s.leadershipCondition(), {Key: key, Version: version}, {Key: header, Version: s.c.control.versions[header]}},
 		Then: []wire.Change{put(key, fenceRecord{record.Epoch, record.Result})},
 	}
 	s.c.state(StateCall{Op: OpTxn, Txn: txn, Timeout: leadCallTimeout}, func(r StateReply) {
@@ -147,6 +203,7 @@
 		}
 		if r.Status == http.StatusOK {
 			s.fences[key] = &keptFence{record: record, version: r.Txn.Revision}
+			s.dropAcceptances(record.Home, record.Job, record.Epoch)
 			return
 		}
 		s.rereadFence(key)
@@ -172,13 +229,14 @@
 	if !ok || rec == nil {
 		return
 	}
+	s.dropAcceptances(cells.Cell(home), job, rec.Epoch)
 	s.fences[it.Key] = &keptFence{version: it.Version, record: cells.HolderRecord{
 		Home: cells.Cell(home), Job: job, Epoch: rec.Epoch, State: cells.HolderEnded, Result: rec.Result}}
 }
 
 // mayStart reports whether tasks of a job may be placed by this leader. Those of another cell's job
-// only once that cell has told this leader that the grant is open: after an outage it may have been
-// declared over. What runs already is left to run until it is known to be.
+// only once that cell has told this leader, in answer to its challenge, that the grant is open: after an
+// outage it may have been declared over, and a copy of an earlier call would not know of that. What runs already is left to run until it is known to be.
 func (s *cellSide) mayStart(j *job) bool {
 	if j.origin == nil {
 		return true
@@ -210,7 +268,7 @@
 // after this cell was declared gone, is stopped. The floor is recorded in place of the fences below
 // it, in one transaction.
 func (s *cellSide) raiseFloor(home cells.Cell, epoch cells.Epoch) {
-	s.told[home] = max(s.told[home], epoch)
+	s.dropAcceptances(home, "", epoch)
 	s.wantPlacement()
 	for id, h := range s.c.control.headers {
 		if h.Origin == nil || h.Origin.Home != home || h.Origin.Epoch > epoch {
--- a/controller/cell_links.go
+++ b/controller/cell_links.go
@@ -31,7 +31,9 @@
 	links     map[cells.Cell]*cellLink
 	fences    map[string]*keptFence // by key
 	floors    map[cells.Cell]*keptFloor
-	told      map[cells.Cell]cells.Epoch // the floors that homes have told this leader
+	told      map[cells.Cell]cells.Epoch // the floors that homes have told this leader, in answer to its challenge
+	challenge cells.Challenge            // of this leader
+	accepting map[string]acceptance      // by job: what may be written and is not seen yet
 	ranAt     time.Time
 	rewriting map[string]bool      // headers whose write is under way
 	cameBack  map[string]time.Time // own jobs that were elsewhere, since when they are not
@@ -45,7 +47,8 @@
 	askAt    time.Time // when it is asked next
 	answered time.Time
 	failures int
-	room     float64 // in cores, that it lent when it answered, less what was granted since
+	room     float64         // in cores, that it lent when it answered, less what was granted since
+	sent     cells.Challenge // the last one that it has sent
 }
 
 // keptFence is a fence as it is in the state service.
@@ -60,7 +63,8 @@
 		return nil
 	}
 	s := &cellSide{leader: l, links: map[cells.Cell]*cellLink{}, fences: map[string]*keptFence{},
-		floors: map[cells.Cell]*keptFloor{}, told: map[cells.Cell]cells.Epoch{}, rewriting: map[string]bool{}, cameBack: map[string]time.Time{}, idle: map[string]time.Time{}}
+		floors: map[cells.Cell]*keptFloor{}, told: map[cells.Cell]cells.Epoch{}, rewriting: map[string]bool{}, cameBack: map[string]time.Time{}, idle: map[string]time.Time{},
+		challenge: cells.Challenge(l.c.rng.Uint64() | 1), accepting: map[string]acceptance{}}
 	for _, p := range l.c.op.Cell.Peers {
 		s.links[cells.Cell(p.Name)] = &cellLink{name: cells.Cell(p.Name)}
 	}
@@ -112,7 +116,8 @@
 	if link.asking || s.c.now.Before(link.askAt) {
 		return
 	}
-	call := CellCall{ID: s.c.id(), To: link.name, Floor: cells.Floor(open, s.c.control.epoch)}
+	open = s.withoutGone(open)
+	call := CellCall{ID: s.c.id(), To: link.name, Floor: cells.Floor(open, link.name, s.c.control.epoch), Challenge: link.sent}
 	for _, r := range open {
 		if m, due := r.Message(s.self()); due && r.Holder == link.name && len(call.Messages) < cellBatch {
 			msg := CellMessage{Message: m}
@@ -142,6 +147,9 @@
 		return
 	}
 	link.failures, link.answered, link.askAt, link.room = 0, s.c.now, s.c.now.Add(cellAskInterval), r.Room
+	if r.Challenge != link.sent { // another leader: it starts and lends nothing before it has this back
+		link.sent, link.askAt = r.Challenge, s.c.now
+	}
 	for _, m := range r.Messages {
 		if h := s.c.control.headers[m.Job]; h != nil && h.Grant != nil && m.From == link.name && m.To == s.self() {
 			s.applyStatus(m.Message, h)
@@ -190,6 +198,7 @@
 			return
 		}
 		delete(s.rewriting, id)
+		s.acceptanceAnswered(id, r.Status)
 		if r.Status == http.StatusOK {
 			s.ranAt = time.Time{} // the next job need not wait for the interval
 			for _, change := range txn.Then {
@@ -207,5 +216,6 @@
 	if s != nil {
 		delete(s.cameBack, id)
 		delete(s.idle, id)
+		delete(s.accepting, id)
 	}
 }
--- a/controller/cell_records.go
+++ b/controller/cell_records.go
@@ -104,6 +104,8 @@
 	To       cells.Cell
 	Floor    cells.Epoch
 	Messages []CellMessage
+
+	Challenge cells.Challenge // the last one that the other cell has sent
 }
 
 // CellReply answers a CellCall; not OK: no leader of that cell has answered.
@@ -112,6 +114,8 @@
 	OK       bool
 	Messages []CellMessage
 	Room     float64 // in cores, that the other cell lends now
+
+	Challenge cells.Challenge // of the leader that has answered
 }
 
 // CellRequest are messages from another cell, to be answered with the same Req by a CellAnswer.
@@ -120,10 +124,14 @@
 	From     cells.Cell
 	Floor    cells.Epoch
 	Messages []CellMessage
+
+	Challenge cells.Challenge // the last one that the home has received; 0: none
 }
 
 // CellAnswer is what is on record here for another cell.
 type CellAnswer struct {
 	Messages []CellMessage
 	Room     float64
+
+	Challenge cells.Challenge // to be carried back with the next call
 }
--- a/controller/cells_test.go
+++ b/controller/cells_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,11 +177,17 @@
 	if l.cells.mayStart(j) {
 		t.Error("starts before its home was heard")
 	}
-	l.cells.raiseFloor("b", 5)
+	for _, copied := range []cells.Challenge{0, l.cells.challenge + 1} { // none known, and that of an earlier leader
+		c.cellRequest(CellRequest{From: "b", Floor: 5, Challenge: copied})
+		if l.cells.mayStart(j) {
+			t.Error("starts on a call that may be a copy from before the election")
+		}
+	}
+	c.cellRequest(CellRequest{From: "b", Floor: 5, Challenge: l.cells.challenge})
 	if !l.cells.mayStart(j) {
 		t.Error("does not start though its grant is open")
 	}
-	l.cells.raiseFloor("b", 6)
+	c.cellRequest(CellRequest{From: "b", Floor: 6, Challenge: l.cells.challenge})
 	if l.cells.mayStart(j) {
 		t.Error("starts though its grant is over")
 	}
@@ -269,3 +277,136 @@
 		t.Errorf("%+v, fences %v", l.cells.floor("b"), l.cells.fences)
 	}
 }
+
+// offers is a call of a home with one offer for each size, in cores; epochs and ids count from first.
+func offers(c *Core, home cells.Cell, first int, sizes ...int) CellRequest {
+	r := CellRequest{From: home, Challenge: c.lead.cells.challenge}
+	for i, size := range sizes {
+		spec := &wire.Job{ID: fmt.Sprintf("req-%06d", first+i), Team: "red", Class: "x", Kind: wire.KindArray, Priority: "high", Tasks: size, CPUs: 1, Image: "i"}
+		r.Messages = append(r.Messages, CellMessage{Spec: spec, Message: cells.Message{Kind: cells.KindOffer, From: home, To: "a", Job: spec.ID,
+			Epoch: cells.Epoch(first + i), Team: "red"}})
+	}
+	return r
+}
+
+// accepted lists the writes of acceptances that the core asks for, and how many cores they take together.
+func accepted(c *Core) (writes []StateCall, cores int) {
+	for _, o := range c.out {
+		if call, ok := o.(StateCall); ok && call.Op == OpTxn {
+			if h := decode[headerRecord](call.Txn.Then[0].Value); h != nil && h.Origin != nil {
+				writes = append(writes, call)
+				cores += h.Job.Tasks
+			}
+		}
+	}
+	c.out = nil
+	return writes, cores
+}
+
+// The offers of one call together, doubled and reordered, and those of two homes at once, take no more
+// than is lent: each was once judged against the same room.
+func TestOffersTogetherKeepToWhatIsLent(t *testing.T) {
+	c, l, _ := celled(t) // which lends 10 cores
+	c.out = nil
+	first := offers(c, "b", 100, 4, 4, 4, 2)
+	doubled := CellRequest{From: "b", Challenge: first.Challenge}
+	for _, i := range []int{1, 0, 1, 3, 2, 0, 3} {
+		doubled.Messages = append(doubled.Messages, first.Messages[i])
+	}
+	c.cellRequest(doubled)
+	c.cellRequest(offers(c, "c", 200, 3, 1))
+	writes, cores := accepted(c)
+	if cores != 10 || len(writes) != 3 {
+		t.Fatalf("%d jobs of %d cores are accepted, 10 cores are lent", len(writes), cores)
+	}
+	// What got no answer may be applied later: its room stays taken, also when it is refused then.
+	id := writes[0].Txn.Then[0].Put[len(headerPrefix):]
+	for _, status := range []int{0, http.StatusConflict} {
+		l.cells.acceptanceAnswered(id, status)
+		if l.cells.lends() > 0 {
+			t.Errorf("%v cores are lent after status %d of a write in doubt", l.cells.lends(), status)
+		}
+	}
+	// It is written again when it is offered again, in the room that it has.
+	delete(l.cells.rewriting, id)
+	delete(l.cells.fences, fenceKey("b", id))
+	c.cellRequest(first)
+	if again, cores := accepted(c); len(again) != 1 || cores != 4 || l.cells.lends() > 0 {
+		t.Errorf("%d jobs of %d cores are accepted once more", len(again), cores)
+	}
+	// What is refused for certain leaves its room to others.
+	l.cells.acceptanceAnswered(writes[2].Txn.Then[0].Put[len(headerPrefix):], http.StatusConflict)
+	if l.cells.lends() != 2 {
+		t.Errorf("%v cores are lent after a refused write", l.cells.lends())
+	}
+	// Once the home says that it is over, its room is free.
+	c.cellRequest(CellRequest{From: "b", Floor: 150, Challenge: l.cells.challenge})
+	if l.cells.lends() != 10 {
+		t.Errorf("%v cores are lent after the end of all grants", l.cells.lends())
+	}
+}
+
+// Nothing is lent to a home before it has carried the challenge of this leader back, and a home learns
+// of a new leader by its challenge and asks again at once.
+func TestRoomIsToldInAnswerToTheChallenge(t *testing.T) {
+	c, l, _ := celled(t)
+	c.out = nil
+	for challenge, room := range map[cells.Challenge]float64{0: 0, l.cells.challenge: 10} {
+		c.cellRequest(CellRequest{Req: 3, From: "b", Challenge: challenge})
+		answer := c.out[len(c.out)-1].(Answer).Body.(CellAnswer)
+		if answer.Room != room || answer.Challenge != l.cells.challenge || answer.Challenge == 0 {
+			t.Errorf("challenge %d: %+v", challenge, answer)
+		}
+	}
+	link := l.cells.links["b"]
+	for _, answered := range []struct {
+		challenge cells.Challenge
+		soon      bool
+	}{{77, true}, {77, false}, {78, true}} {
+		l.cells.answered(link, CellReply{OK: true, Challenge: answered.challenge})
+		if soon := !c.now.Before(link.askAt); soon != answered.soon {
+			t.Errorf("challenge %d: asked again at once %v", answered.challenge, soon)
+		}
+		c.out = nil
+		link.askAt = c.now
+		l.cells.ask(link, nil)
+		if call, ok := c.out[len(c.out)-1].(CellCall); !ok || call.Challenge != answered.challenge {
+			t.Errorf("asked with %+v", c.out)
+		}
+	}
+}
+
+// A cell that was declared gone hears that all it had is over, although another cell still has an older
+// grant, and before the writes that take its grants back are made.
+func TestFloorOfACellDeclaredGone(t *testing.T) {
+	c, l, _ := celled(t)
+	open := []cells.HomeRecord{{Job: "x", State: cells.HomeOffered, Holder: "c", Epoch: 2}, {Job: "y", State: cells.HomeOffered, Holder: "b", Epoch: 5}}
+	c.control.epoch = 6
+	c.control.gone["b"] = goneRecord{Epoch: 6, By: "operator"}
+	for holder, want := range map[cells.Cell]CellCall{"b": {Floor: 6}, "c": {Floor: 1, Messages: make([]CellMessage, 1)}} {
+		c.control.headers["x"], c.control.headers["y"] = &headerRecord{}, &headerRecord{}
+		c.out = nil
+		l.cells.ask(l.cells.links[holder], open)
+		if call := c.out[len(c.out)-1].(CellCall); call.Floor != want.Floor || len(call.Messages) != len(want.Messages) {
+			t.Errorf("%s is told %+v", holder, call)
+		}
+	}
+}
+
+// A fence is written only where the header of its job is as it was read: an acceptance that was applied
+// and is not seen yet would run beside it.
+func TestFenceIsConditionalOnTheHeader(t *testing.T) {
+	c, _, _ := celled(t)
+	c.out = nil
+	recall := cells.Message{Kind: cells.KindRecall, From: "b", To: "a", Job: "req-000088", Epoch: 5}
+	c.cellRequest(CellRequest{From: "b", Messages: []CellMessage{{Message: recall}}})
+	for _, o := range c.out {
+		if call, ok := o.(StateCall); ok && call.Op == OpTxn && call.Txn.Then[0].Put == fenceKey("b", "req-000088") {
+			if !slices.Contains(call.Txn.If, wire.Cond{Key: headerKey("req-000088")}) {
+				t.Errorf("conditions %+v", call.Txn.If)
+			}
+			return
+		}
+	}
+	t.Error("no fence is written")
+}
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -20,8 +20,9 @@
 	rng      *rand.Rand
 	cut      map[[2]int]bool // links between cells, by their places, from and to
 	lossless bool
-	homes    map[string]*World // of jobs, by id
-	ran      map[string]int    // tasks that have started in another cell than their home
+	onCall   func(from, to *World, call controller.CellCall) // called when one cell calls another
+	homes    map[string]*World                               // of jobs, by id
+	ran      map[string]int                                  // tasks that have started in another cell than their home
 	history  []history.Event
 }
 
@@ -136,10 +137,13 @@
 	})
 	w.after(3*time.Second, func() { reply(controller.CellReply{}) })
 	to := c.world(string(call.To))
+	if c.onCall != nil {
+		c.onCall(w, to, call)
+	}
 	carry := func(answer func(controller.CellReply)) func() {
 		return func() {
 			if !c.cut[[2]int{w.place, to.place}] {
-				to.askCell(0, controller.CellRequest{From: cells.Cell(cellName(w.place)), Floor: call.Floor, Messages: call.Messages}, answer)
+				to.askCell(0, requestOf(w, call), answer)
 			}
 		}
 	}
@@ -156,6 +160,11 @@
 	}))
 }
 
+// requestOf is what a call of a cell asks another one.
+func requestOf(from *World, call controller.CellCall) controller.CellRequest {
+	return controller.CellRequest{From: cells.Cell(cellName(from.place)), Floor: call.Floor, Messages: call.Messages, Challenge: call.Challenge}
+}
+
 // askCell asks the cell's controllers in turn until one answers that leads.
 func (w *World) askCell(from int, r controller.CellRequest, answer func(controller.CellReply)) {
 	if from == len(w.nodes) {
@@ -173,7 +182,7 @@
 			w.askCell(from+1, r, answer)
 			return
 		}
-		answer(controller.CellReply{OK: true, Messages: body.Messages, Room: body.Room})
+		answer(controller.CellReply{OK: true, Messages: body.Messages, Room: body.Room, Challenge: body.Challenge})
 	})
 }
 
--- a/internal/sim/cluster_test.go
+++ b/internal/sim/cluster_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"pumicefront/cells"
 	"pumicefront/controller"
 )
 
@@ -125,6 +126,19 @@
 	}
 }
 
+// declareGone has operators declare a cell gone, until that is recorded.
+func declareGone(home *World, cell cells.Cell) {
+	home.leading().ask(func(req uint64) controller.Input {
+		return controller.CellGoneRequest{Req: req, Cell: cell, By: "operator"}
+	}, func(a controller.Answer) {
+		if a.Status != 200 {
+			home.after(time.Second, func() { declareGone(home, cell) })
+			return
+		}
+		home.coverage["a cell is declared gone"]++
+	})
+}
+
 // Operators declare a cell gone whose machines are off: what it held runs elsewhere, and when the
 // cell comes back it starts nothing of that any more.
 func TestCellDeclaredGone(t *testing.T) {
@@ -139,22 +153,74 @@
 					}
 				}
 			})
-			var declare func()
-			declare = func() {
-				home.leading().ask(func(req uint64) controller.Input {
-					return controller.CellGoneRequest{Req: req, Cell: "cell-1", By: "operator"}
-				}, func(a controller.Answer) {
-					if a.Status != 200 {
-						home.after(time.Second, declare)
-						return
+			home.after(75*time.Second, func() { declareGone(home, "cell-1") })
+		})
+		if c.Worlds[0].coverage["a cell is declared gone"] == 0 {
+			t.Error("the cell is not declared gone")
+		}
+	}
+}
+
+// Copies of calls that a home made before a cell was declared gone reach that cell's new leader before
+// the home's next call does, some in answer to the challenge of the leader before. The leader starts
+// nothing on them: its grants are over, and the home runs the jobs again. The home's leader fails
+// meanwhile, and the cell's loses its state service for a while.
+func TestLateCallsToACellDeclaredGone(t *testing.T) {
+	const lost, back, heard = 60 * time.Second, 120 * time.Second, 150 * time.Second
+	offered := 0
+	for seed := range uint64(runsOf("PUMICEFRONT_CELL_RUNS", 2)) {
+		copies, challenged, started := 0, 0, 0
+		c := playCells(t, seed, func(c *Cluster) {
+			home, gone := c.Worlds[0], c.Worlds[1]
+			var kept []controller.CellRequest
+			c.onCall = func(from, to *World, call controller.CellCall) {
+				if from == home && to == gone && from.now < lost {
+					kept = append(kept, requestOf(from, call))
+					offered += len(call.Messages)
+				}
+			}
+			gone.onStart = func(_ *host, task *task) {
+				if gone.now > back && gone.now < heard && c.homes[task.job.spec.ID] == home {
+					started++
+				}
+			}
+			gone.after(lost, func() {
+				c.SetLink(0, 1, false)
+				gone.loseCell(back - lost)
+				for _, h := range gone.hosts {
+					if !h.gone {
+						h.vanish()
+					}
+				}
+			})
+			home.after(lost+15*time.Second, func() { declareGone(home, "cell-1") })
+			home.after(lost+40*time.Second, func() { home.leading().crash(3 * time.Second) })
+			gone.after(back+12*time.Second, func() { gone.store.setOutage(true) })
+			gone.after(back+18*time.Second, func() { gone.store.setOutage(false) })
+			for at := back; at < heard; at += time.Second {
+				gone.after(at, func() {
+					for _, r := range kept[max(0, len(kept)-5):] {
+						gone.askCell(0, r, func(a controller.CellReply) {
+							if a.OK {
+								copies++
+							}
+							if a.OK && r.Challenge != 0 {
+								challenged++
+							}
+						})
 					}
-					home.coverage["a cell is declared gone"]++
 				})
 			}
-			home.after(75*time.Second, declare)
+			home.after(heard, func() { c.SetLink(0, 1, true) })
 		})
-		if c.Worlds[0].coverage["a cell is declared gone"] == 0 {
-			t.Error("the cell is not declared gone")
+		if c.Worlds[0].coverage["a cell is declared gone"] == 0 || copies == 0 || challenged == 0 {
+			t.Errorf("seed %d: %d copies, %d with a challenge (%v)", seed, copies, challenged, c.Worlds[0].coverage)
+		}
+		if started > 0 {
+			t.Errorf("seed %d: %d tasks of grants that are over start", seed, started)
 		}
 	}
+	if offered == 0 {
+		t.Error("no copy is of a call with an offer")
+	}
 }
