--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -48,6 +48,7 @@
 	attempt uint64
 	state   string
 	why     string
+	started time.Duration
 }
 
 func (t *task) onMachine() bool { return t.state == wire.TaskRunning || t.state == wire.TaskSaving }
@@ -62,6 +63,9 @@
 	if w.chance(0.05) {
 		boot = time.Hour // never comes up
 	}
+	if w.alwaysUp {
+		boot, h.faulty = min(boot, 14*time.Second), false
+	}
 	h.up = w.now + boot
 	h.cut = w.faults.darkZones[zone]
 	if w.live != nil {
@@ -359,7 +363,7 @@
 			}
 		case wire.OpStop:
 			if t != nil && t.state != wire.TaskExited {
-				h.exit(t, wire.WhyStopped)
+				h.stop(t, c.GraceS)
 			}
 		case wire.OpForget:
 			if t != nil && t.state == wire.TaskExited {
@@ -369,6 +373,23 @@
 	}
 }
 
+// stop ends a task, after it has saved where it can and has the time.
+func (h *host) stop(t *task, grace float64) {
+	if t.job == nil || t.job.saved == nil || t.state != wire.TaskRunning || grace < t.job.spec.SaveS {
+		if t.state != wire.TaskSaving || grace == 0 {
+			h.exit(t, wire.WhyStopped)
+		}
+		return
+	}
+	t.state = wire.TaskSaving
+	h.soon()
+	h.later(t, time.Duration(t.job.spec.SaveS*float64(time.Second)), func() {
+		_, n, _ := wire.SplitTask(t.id)
+		t.job.saved[n] += h.w.now - t.started
+		h.exit(t, wire.WhyStopped)
+	})
+}
+
 func (h *host) exit(t *task, why string) {
 	if t.onMachine() {
 		h.noteEnd(t)
@@ -406,6 +427,9 @@
 	fetch := 10 * time.Millisecond
 	if !h.images[j.spec.Image] {
 		h.w.noteFetch(h.zone)
+		if h.w.onFetch != nil {
+			h.w.onFetch()
+		}
 		fetch = h.w.between(time.Second, 4*time.Second)
 	}
 	h.later(t, fetch, func() { h.start(t, j) })
@@ -437,7 +461,7 @@
 func (h *host) start(t *task, j *simJob) {
 	h.images[j.spec.Image] = true
 	h.w.checkStart(h, t, j)
-	t.state = wire.TaskRunning
+	t.state, t.started = wire.TaskRunning, h.w.now
 	if h.w.onStart != nil {
 		h.w.onStart(h, t)
 	}
@@ -448,11 +472,14 @@
 	case h.faulty:
 		h.later(t, time.Second, func() { h.exit(t, wire.WhyError) })
 	case j.spec.Kind == wire.KindArray:
-		run := j.run
+		run := max(j.run-j.saved[n], 0)
 		if j.done[n] {
 			run = 0
 		}
 		h.later(t, run, func() {
+			if t.state == wire.TaskSaving {
+				return // it ends when it has saved, and has nothing left to do
+			}
 			j.done[n] = true
 			h.exit(t, wire.WhyDone)
 			h.w.noteTaskEnd(j)
--- a/internal/sim/measure_test.go
+++ b/internal/sim/measure_test.go
@@ -26,6 +26,16 @@
 	})
 }
 
+// TestMeasureSpread prints the figures of docs/load-spreading.md; it is run by hand:
+// PUMICEFRONT_SPREAD_MEASURE=20,400,4000 go test -v -timeout 30m ./internal/sim -run TestMeasureSpread
+func TestMeasureSpread(t *testing.T) {
+	measure(t, "PUMICEFRONT_SPREAD_MEASURE", "PUMICEFRONT_SPREAD_SEEDS", []string{"off"}, func(machines int, seed uint64, _ string) (fmt.Stringer, []string) {
+		r := newSpreadRun(machines, seed)
+		r.play()
+		return r, r.w.Rules
+	})
+}
+
 // measure plays the sizes that a variable lists, with as many seeds as another one says, in each mode.
 func measure(t *testing.T, sizesVariable, seedsVariable string, modes []string, play func(machines int, seed uint64, mode string) (result fmt.Stringer, rules []string)) {
 	sizes := os.Getenv(sizesVariable)
--- /dev/null
+++ b/internal/sim/spread_measure.go
@@ -0,0 +1,260 @@
+package sim
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"pumicefront/wire"
+)
+
+// How evenly load is spread over a fleet that is skewed, drained in part, and then left alone.
+
+// The course of a measured run.
+const (
+	spreadSkewAt   = 60 * time.Second  // by then all machines are up
+	spreadSwitchAt = 110 * time.Second // the controllers start anew, one after the other, with what is measured
+	spreadDrainAt  = 420 * time.Second // a third of the machines is drained
+	spreadBackAt   = 450 * time.Second // and is back, empty
+	spreadEnd      = 750 * time.Second
+	spreadSample   = time.Second
+)
+
+// spreadMachineCores is how many cores a machine of a measured run has: all are of the larger type.
+const spreadMachineCores = 16
+
+// Bounds by which a fleet counts as even.
+const (
+	evenMaximum   = 1.25 // of the largest share over the mean
+	evenVariation = 0.25 // coefficient of variation
+)
+
+// spreadSampled is what a look at all machines finds of their dominant shares.
+type spreadSampled struct {
+	at               time.Duration
+	shares           []float64 // in the order of the machines
+	variation        float64   // their coefficient of variation
+	maximum          float64   // the largest over the mean
+	teamOnOneMachine float64   // the largest part of the hot team's cores on one machine
+}
+
+// even reports whether the fleet counts as even.
+func (s spreadSampled) even() bool { return s.maximum <= evenMaximum && s.variation <= evenVariation }
+
+// spreadRun is a measured run.
+type spreadRun struct {
+	w        *World
+	machines int
+	samples  []spreadSampled
+	fetches  int // starts that waited for an image, from the skew on
+	missing  time.Duration
+	replicas int
+	starts   map[string][]time.Duration // of each replica
+	names    []string                   // of the machines, in the order of shares
+}
+
+// newSpreadRun prepares a fleet of so many like machines that are all kept, with its load: one team
+// with two images of which it starts much on few machines, over a background of another team; about
+// seven tenths of the cores are in use.
+func newSpreadRun(machines int, seed uint64) *spreadRun {
+	cores := float64(machines) * spreadMachineCores
+	w := New(seed, Shape{Controllers: 3, Machines: machines, Scale: cores / 16, Tasks: 50})
+	w.deterministic = true
+	w.cloud.most = machines
+	w.op.IdleS = 24 * 3600
+	w.cfg.Facts.State.RPS, w.cfg.Facts.State.WriteRPS, w.cfg.Facts.State.TxnOps = 350, 150, 32
+	w.alwaysUp = true
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	r := &spreadRun{w: w, machines: machines, starts: map[string][]time.Duration{}}
+	r.submitLoad(cores)
+	return r
+}
+
+// submitLoad submits the load of a run.
+func (r *spreadRun) submitLoad(cores float64) {
+	w, id := r.w, 0
+	enter := func(spec wire.Job, run time.Duration) {
+		spec.ID, spec.MemoryGB, spec.ImageGB, spec.Types = fmt.Sprintf("req-%06d", id), 2, 1, []string{"big"}
+		id++
+		w.users.enterQuietly(&simJob{spec: spec, run: run, done: make([]bool, spec.Tasks), saved: map[int]time.Duration{}})
+	}
+	each := 2.0
+	if r.machines > 1000 {
+		each = 4 // fewer tasks: checking the rules costs the square of their number
+	}
+	// One task for each machine, so that all of them are rented.
+	w.after(time.Second, func() {
+		enter(wire.Job{Class: "boot", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: r.machines, CPUs: spreadMachineCores, Image: "img-boot"}, 10*time.Second)
+	})
+	background := int(cores * 0.3 / each / 4)
+	for i := range background {
+		w.after(spreadSkewAt+w.between(0, 20*time.Second), func() {
+			if i%2 == 0 {
+				r.replicas += 4
+				enter(wire.Job{Class: "web", Team: "blue", Kind: wire.KindService, Priority: "high", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i%6)}, 0)
+				return
+			}
+			enter(wire.Job{Class: "bulk", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i%6),
+				EstimateS: 1800, CheckpointS: 20, SaveS: 1}, 30*time.Minute)
+		})
+	}
+	hot := int(cores * 0.4 / each / 4)
+	for i := range hot {
+		w.after(spreadSkewAt+20*time.Second+w.between(0, 20*time.Second), func() {
+			image := fmt.Sprintf("img-hot-%d", i%2)
+			if i%4 < 2 {
+				r.replicas += 4
+				enter(wire.Job{Class: "web", Team: "red", Kind: wire.KindService, Priority: "high", Tasks: 4, CPUs: each, Image: image}, 0)
+				return
+			}
+			enter(wire.Job{Class: "bulk", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: image,
+				EstimateS: 1800, CheckpointS: 20, SaveS: 1}, 30*time.Minute)
+		})
+	}
+}
+
+// play runs it: the skew, a drain of a third of the machines, their return, and the time after that.
+func (r *spreadRun) play() {
+	w := r.w
+	w.onStart = func(h *host, t *task) {
+		if w.now > spreadSwitchAt && t.job.spec.Kind == wire.KindService {
+			r.starts[t.id] = append(r.starts[t.id], w.now)
+		}
+	}
+	w.onFetch = func() {
+		if w.now > spreadSwitchAt {
+			r.fetches++
+		}
+	}
+	for at := spreadSwitchAt; at < spreadEnd; at += spreadSample {
+		w.after(at, r.sample)
+	}
+	w.after(spreadSwitchAt, r.restartControllers)
+	w.after(spreadDrainAt, r.drainThird)
+	w.Run(spreadEnd)
+}
+
+// restartControllers starts the controllers anew, one after the other, with the settings as they are.
+func (r *spreadRun) restartControllers() {
+	for i, n := range r.w.nodes {
+		r.w.after(time.Duration(i)*3*time.Second, func() { n.crash(time.Second) })
+	}
+}
+
+// drainThird restarts the fullest third of the machines, one after the other as for maintenance: what
+// runs there starts elsewhere, and they come back empty.
+func (r *spreadRun) drainThird() {
+	const down = time.Second
+	up := r.w.hostsUp()
+	slices.SortStableFunc(up, func(a, b *host) int { return int(b.usedCores() - a.usedCores()) })
+	third := up[:len(up)/3]
+	for i, h := range third {
+		r.w.after(time.Duration(i)*(spreadBackAt-spreadDrainAt-down)/time.Duration(len(third)), func() { h.restart(down) })
+	}
+}
+
+// usedCores is how many cores are taken on a machine.
+func (h *host) usedCores() float64 {
+	cores := 0.0
+	for _, t := range h.tasks {
+		if t.state != wire.TaskExited && t.job != nil {
+			cores += t.job.spec.CPUs
+		}
+	}
+	return cores
+}
+
+// sample looks at all machines.
+func (r *spreadRun) sample() {
+	s := spreadSampled{at: r.w.now}
+	r.names = r.names[:0]
+	team, up := 0.0, 0
+	teamMost := 0.0
+	for _, h := range r.w.hostsUp() {
+		s.shares = append(s.shares, h.usedCores()/spreadMachineCores)
+		r.names = append(r.names, h.id)
+		here := 0.0
+		for _, t := range h.tasks {
+			if t.state == wire.TaskExited || t.job == nil {
+				continue
+			}
+			if t.job.spec.Team == "red" {
+				here += t.job.spec.CPUs
+			}
+			if t.state == wire.TaskRunning && t.job.spec.Kind == wire.KindService {
+				up++
+			}
+		}
+		team += here
+		teamMost = math.Max(teamMost, here)
+	}
+	s.variation, s.maximum = spreadOf(s.shares)
+	if team > 0 {
+		s.teamOnOneMachine = teamMost / team
+	}
+	r.missing += time.Duration(r.replicas-up) * spreadSample
+	r.samples = append(r.samples, s)
+}
+
+// spreadOf returns the coefficient of variation of shares, and their maximum over their mean.
+func spreadOf(shares []float64) (variation, maximum float64) {
+	mean, squares := 0.0, 0.0
+	for _, s := range shares {
+		mean += s / float64(len(shares))
+		maximum = math.Max(maximum, s)
+	}
+	if mean == 0 {
+		return 0, 0
+	}
+	for _, s := range shares {
+		squares += (s - mean) * (s - mean) / float64(len(shares))
+	}
+	return math.Sqrt(squares) / mean, maximum / mean
+}
+
+// evenFrom is how long after a time the fleet is even and stays so until another; negative: it is not.
+func (r *spreadRun) evenFrom(from, until time.Duration) time.Duration {
+	since := time.Duration(-1)
+	for _, s := range r.samples {
+		switch {
+		case s.at < from || s.at > until:
+		case !s.even():
+			since = -1
+		case since < 0:
+			since = s.at - from
+		}
+	}
+	return since
+}
+
+// at is the last sample before a time.
+func (r *spreadRun) at(when time.Duration) spreadSampled {
+	last := spreadSampled{}
+	for _, s := range r.samples {
+		if s.at <= when {
+			last = s
+		}
+	}
+	return last
+}
+
+// String is the line of a measurement.
+func (r *spreadRun) String() string {
+	line := ""
+	for _, at := range []time.Duration{spreadSwitchAt, spreadDrainAt - time.Second, spreadBackAt + 5*time.Second, spreadBackAt + 180*time.Second, spreadEnd - time.Second} {
+		s := r.at(at)
+		line += fmt.Sprintf("%3.0f s: variation %.2f maximum %.2f team %.2f; ", at.Seconds(), s.variation, s.maximum, s.teamOnOneMachine)
+	}
+	even := func(from, until time.Duration) string {
+		if d := r.evenFrom(from, until); d >= 0 {
+			return fmt.Sprintf("%.0f s", d.Seconds())
+		}
+		return "never"
+	}
+	return line + fmt.Sprintf("even after the skew: %s, after the drain: %s; %d machines, %d replicas, %.0f replica-s missing (%.2f%%), %d fetches, processor %.1f s",
+		even(spreadSwitchAt, spreadDrainAt-time.Second), even(spreadBackAt, spreadEnd), len(r.w.hostsUp()), r.replicas, r.missing.Seconds(),
+		100*r.missing.Seconds()/(float64(r.replicas)*(spreadEnd-spreadSwitchAt).Seconds()), r.fetches, r.w.processor.Seconds())
+}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -33,6 +33,7 @@
 	firstEnd    time.Duration // when a task of it ended first
 	known       time.Duration // when a question about it was answered last
 	needs       []*simJob
+	saved       map[int]time.Duration // by task, how much of its run is saved; nil: nothing ever is
 }
 
 func (j *simJob) left() int {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -44,6 +44,8 @@
 	cluster       *Cluster               // the cells that this one belongs to; nil: it is alone
 	place         int                    // among them
 	onStart       func(h *host, t *task) // called when a task starts
+	onFetch       func()                 // called when a start has to fetch its image
+	alwaysUp      bool                   // machines all come up, and none is faulty
 	processor     time.Duration          // that the controllers' cores took
 	keepHistory   bool
 	history       []history.Event
