Load spreading: placed evenly and moved within bounds, switched on by a block

Need: fourteen machines stay full and six idle, after a drain too. Change: package balance (shares, plan, ledger of moves), an order of machines by watermarks in scheduler, controller/spreading_*.go: what tolerates a move, when none is begun, held room, the record b/moves that outlives a leader. Optional records are read in one list.

--- a/config/config.go
+++ b/config/config.go
@@ -119,10 +119,12 @@
 	Surge        float64 `hcl:"surge,optional"`
 	SurgeBatch   float64 `hcl:"surge_batch,optional"`
 
-	ZoneRecoveryBlock *zoneRecoveryBlock `hcl:"zone_recovery,block"`
-	ZoneRecovery      *ZoneRecovery      // what follows from the block; nil: zone recovery is off
-	CellBlock         *cellBlock         `hcl:"cell,block"`
-	Cell              *Cell              // what follows from the block; nil: this cell is alone
+	ZoneRecoveryBlock *zoneRecoveryBlock  `hcl:"zone_recovery,block"`
+	ZoneRecovery      *ZoneRecovery       // what follows from the block; nil: zone recovery is off
+	CellBlock         *cellBlock          `hcl:"cell,block"`
+	SpreadingBlock    *loadSpreadingBlock `hcl:"load_spreading,block"`
+	Spreading         *LoadSpreading      // what follows from the block; nil: load is not spread
+	Cell              *Cell               // what follows from the block; nil: this cell is alone
 }
 
 // DefaultOperator are the settings where the file says nothing.
@@ -212,6 +214,13 @@
 		}
 		o.Cell, o.CellBlock = cell, nil
 	}
+	if o.SpreadingBlock != nil {
+		spreading, err := o.SpreadingBlock.settings()
+		if err != nil {
+			return o, fmt.Errorf("%s: %w", path, err)
+		}
+		o.Spreading, o.SpreadingBlock = spreading, nil
+	}
 	return o, nil
 }
 
--- /dev/null
+++ b/config/load_spreading.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"pumicefront/balance"
+)
+
+// LoadSpreading are the operators' settings of load spreading; docs/operations.md explains each.
+type LoadSpreading struct {
+	balance.Settings
+	StatusListen string // address of the status endpoint; empty: none
+	Trace        string // file that spans are written to, or TraceStderr; empty: none
+}
+
+// loadSpreadingBlock is the block as it stands in the operators' file; what it leaves out has its
+// default.
+type loadSpreadingBlock struct {
+	High           *float64 `hcl:"high,optional"`
+	LeastShare     *float64 `hcl:"least_share,optional"`
+	LeastGain      *float64 `hcl:"least_gain,optional"`
+	CostShare      *float64 `hcl:"cost_share,optional"`
+	Settled        *string  `hcl:"settled,optional"`
+	Stay           *string  `hcl:"stay,optional"`
+	Hold           *string  `hcl:"hold,optional"`
+	MovesPerMinute *float64 `hcl:"moves_per_minute,optional"`
+	MovesInFlight  *float64 `hcl:"moves_in_flight,optional"`
+	KeepIdle       *bool    `hcl:"keep_idle,optional"`
+	StatusListen   *string  `hcl:"status_listen,optional"`
+	Trace          *string  `hcl:"trace,optional"`
+}
+
+// settings checks the block and fills in the defaults.
+func (b *loadSpreadingBlock) settings() (*LoadSpreading, error) {
+	l := &LoadSpreading{Settings: balance.DefaultSettings()}
+	for _, d := range []struct {
+		name string
+		text *string
+		into *time.Duration
+	}{
+		{"settled", b.Settled, &l.Settled},
+		{"stay", b.Stay, &l.Stay},
+		{"hold", b.Hold, &l.Hold},
+	} {
+		if err := parseDuration("load_spreading."+d.name, d.text, d.into); err != nil {
+			return nil, err
+		}
+	}
+	l.High, l.LeastShare = orNow(b.High, l.High), orNow(b.LeastShare, l.LeastShare)
+	l.LeastGain, l.CostShare = orNow(b.LeastGain, l.LeastGain), orNow(b.CostShare, l.CostShare)
+	l.MovesPerMinute, l.MovesInFlight = orNow(b.MovesPerMinute, l.MovesPerMinute), orNow(b.MovesInFlight, l.MovesInFlight)
+	if b.KeepIdle != nil {
+		l.KeepIdle = *b.KeepIdle
+	}
+	if b.StatusListen != nil {
+		l.StatusListen = *b.StatusListen
+	}
+	if b.Trace != nil {
+		l.Trace = *b.Trace
+	}
+	return l, l.check()
+}
+
+func (l *LoadSpreading) check() error {
+	if err := checkAddress("load_spreading.status_listen", l.StatusListen); err != nil {
+		return err
+	}
+	return checkFields([]field{
+		{"load_spreading.high", l.High, 1.02, 10},
+		{"load_spreading.least_share", l.LeastShare, 0, 1},
+		{"load_spreading.least_gain", l.LeastGain, 0.005, 1},
+		{"load_spreading.cost_share", l.CostShare, 0, 0.5},
+		{"load_spreading.settled (seconds)", l.Settled.Seconds(), 30, 86400},
+		{"load_spreading.stay (seconds)", l.Stay.Seconds(), l.Settled.Seconds(), 86400},
+		{"load_spreading.hold (seconds)", l.Hold.Seconds(), 1, 600},
+		{"load_spreading.moves_per_minute", l.MovesPerMinute, 0, 6000},
+		{"load_spreading.moves_in_flight", l.MovesInFlight, 0, 100},
+	})
+}
+
+// String lists the settings as check-settings prints them.
+func (l *LoadSpreading) String() string {
+	if l == nil {
+		return "off"
+	}
+	return fmt.Sprintf("%+v", *l)
+}
--- a/config/zone_recovery.go
+++ b/config/zone_recovery.go
@@ -58,11 +58,20 @@
 	return z, z.check()
 }
 
+// checkAddress checks an address to listen at, if there is one.
+func checkAddress(name, address string) error {
+	if address == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("field %s: %w", name, err)
+	}
+	return nil
+}
+
 func (z *ZoneRecovery) check() error {
-	if z.StatusListen != "" {
-		if _, err := netip.ParseAddrPort(z.StatusListen); err != nil {
-			return fmt.Errorf("field zone_recovery.status_listen: %w", err)
-		}
+	if err := checkAddress("zone_recovery.status_listen", z.StatusListen); err != nil {
+		return err
 	}
 	return checkFields([]field{
 		{"zone_recovery.lost_after (seconds)", z.LostAfter.Seconds(), 0.1, 600},
--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -36,6 +36,7 @@
 	stopping    bool
 	stoppedAt   time.Time
 	grace       float64
+	saving      bool // a report has shown it saving
 }
 
 // advance takes an attempt to a phase, unless it is known to have come further: a run may be
--- a/controller/cell_holder.go
+++ b/controller/cell_holder.go
@@ -335,13 +335,17 @@
 	})
 }
 
-// restore takes up what earlier leaders have recorded.
-func (s *cellSide) restore(floors, fences []wire.Item) {
+// restoreFloors takes up the floors that earlier leaders have recorded.
+func (s *cellSide) restoreFloors(floors []wire.Item) {
 	clear(s.floors)
-	clear(s.fences)
 	for _, it := range floors {
 		s.addFloor(it)
 	}
+}
+
+// restoreFences takes up the fences that earlier leaders have recorded.
+func (s *cellSide) restoreFences(fences []wire.Item) {
+	clear(s.fences)
 	for _, it := range fences {
 		s.addFence(it)
 	}
--- a/controller/cells_test.go
+++ b/controller/cells_test.go
@@ -228,8 +228,8 @@
 func TestAcceptanceIsConditional(t *testing.T) {
 	c, l, _ := celled(t)
 	fence := fenceRecord{Epoch: 2, Result: cells.ResultReturned}
-	l.cells.restore([]wire.Item{{Key: floorKey("b"), Value: wire.Marshal(epochRecord{1}), Version: 30}},
-		[]wire.Item{{Key: fenceKey("b", "req-000088"), Value: wire.Marshal(fence), Version: 31}})
+	l.cells.restoreFloors([]wire.Item{{Key: floorKey("b"), Value: wire.Marshal(epochRecord{1}), Version: 30}})
+	l.cells.restoreFences([]wire.Item{{Key: fenceKey("b", "req-000088"), Value: wire.Marshal(fence), Version: 31}})
 	spec := wire.Job{ID: "req-000088", Team: "red", Class: "x", Kind: wire.KindArray, Priority: "high", Tasks: 2, CPUs: 1, Image: "i"}
 	offer := cells.Message{Kind: cells.KindOffer, From: "b", To: "a", Job: spec.ID, Epoch: 5, Team: "red"}
 	c.out = nil
@@ -257,7 +257,7 @@
 func TestFloorTakesThePlaceOfFences(t *testing.T) {
 	c, l, _ := celled(t)
 	key := fenceKey("b", "req-000088")
-	l.cells.restore(nil, []wire.Item{{Key: key, Value: wire.Marshal(fenceRecord{Epoch: 2, Result: cells.ResultDone}), Version: 31}})
+	l.cells.restoreFences([]wire.Item{{Key: key, Value: wire.Marshal(fenceRecord{Epoch: 2, Result: cells.ResultDone}), Version: 31}})
 	c.out = nil
 	l.cells.raiseFloor("b", 4)
 	var call StateCall
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -22,8 +22,8 @@
 // them have room on machines that are in use anyway and have their images, and
 // nothing else has use for the machine. A move costs its user a fraction of a second.
 func (l *leader) consolidate() {
-	troubled := l.zones.recovering() || l.partitions.any()
-	if l.c.now.Sub(l.consolidatedAt) < consolidateEvery || troubled || !l.c.now.Before(l.authority) {
+	troubled := l.zones.recovering() || l.partitions.any() || l.spreading.moving()
+	if l.spreading.keepsIdle() || l.c.now.Sub(l.consolidatedAt) < consolidateEvery || troubled || !l.c.now.Before(l.authority) {
 		return
 	}
 	l.consolidatedAt = l.c.now
@@ -58,7 +58,7 @@
 // none, what is free beside them is room for the next, and moving them only costs it,
 // unless a machine boots in time for the next.
 func (l *leader) movable(m *machine) bool {
-	if !l.usable(m) || len(m.list) == 0 || len(m.unknownAttempts) > 0 || l.c.now.Sub(m.immovableAt) < settledFor {
+	if !l.usable(m) || len(m.list) == 0 || len(m.unknownAttempts) > 0 || l.spreading.heldOn(m.id) != (scheduler.Resources{}) || l.c.now.Sub(m.immovableAt) < settledFor {
 		return false
 	}
 	used := 0.0
--- a/controller/core.go
+++ b/controller/core.go
@@ -167,6 +167,8 @@
 		c.declareGone(in)
 	case ZoneStatusRequest:
 		c.zoneStatus(in)
+	case SpreadStatusRequest:
+		c.spreadStatus(in)
 	}
 }
 
--- a/controller/election.go
+++ b/controller/election.go
@@ -90,6 +90,7 @@
 	l.fleet.init()
 	l.zones = newZoneRecovery(l)
 	l.cells = newCellSide(l)
+	l.spreading = newSpreading(l)
 	c.lead = l
 	l.extend(sent, c.op.LeaderLifetime())
 	c.log(slog.LevelInfo, "leading", "token", token)
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -111,7 +111,7 @@
 // leave room for what comes meanwhile.
 func (l *leader) backlog() []*scheduler.Demand {
 	used := l.teamUse()
-	ds := append(append(l.demands(), l.hintedDemands()...), l.soonReady()...)
+	ds := append(append(l.spreading.withoutHeld(l.demands()), l.hintedDemands()...), l.soonReady()...)
 	scheduler.Order(ds)
 	ending := l.expectedRelease() - l.expectedArrivals()
 	for _, d := range ds {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -38,6 +38,7 @@
 	progressTold map[string]jobCount
 	zones        *zoneRecovery // nil: switched off
 	cells        *cellSide     // nil: this cell is alone
+	spreading    *spreading    // nil: load is not spread
 }
 
 // run is the leader's part of every step.
@@ -49,6 +50,7 @@
 	l.proveGone()
 	l.zones.run()
 	l.cells.run()
+	l.spreading.run()
 	l.place()
 	l.flush()
 	l.zones.keepRecords()
--- a/controller/machine_returns.go
+++ b/controller/machine_returns.go
@@ -16,6 +16,9 @@
 
 // returnSpare gives back machines that are not needed, the dearest first.
 func (l *leader) returnSpare() {
+	if l.spreading.keepsIdle() {
+		return
+	}
 	spare := l.spare()
 	slices.SortStableFunc(spare, func(a, b *machine) int { return cmp.Compare(l.price(b), l.price(a)) })
 	for _, m := range spare[:min(len(spare), max(returnMost, len(l.machines)/returnShare))] {
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -42,7 +42,9 @@
 	all := l.view(true)
 	machines := slices.DeleteFunc(slices.Clone(all), func(m *scheduler.Machine) bool { return m.Virtual })
 	demands = scheduler.OrderWithAging(demands, l.reserve(machines))
+	l.spreading.prepare(demands, machines)
 	used := l.teamUse()
+	l.spreading.reserve(used)
 	excess := l.excess()
 	full := map[classKey]bool{}
 	kept := false
@@ -51,6 +53,7 @@
 			l.reserveForHinted(machines)
 			kept = true
 		}
+		l.spreading.placeHeld(machines, d, used)
 		d.RoomInTeam = l.roomInTeam(d, used)
 		key := keyOf(d)
 		if d.RoomInTeam == 0 || full[key] {
@@ -65,6 +68,9 @@
 			placed += l.placeCached(machines, d, want-placed, excess)
 		}
 		placed += l.placeSome(machines, d)
+		if placed < want && l.spreading.yieldRoom(machines, d, want-placed) {
+			placed += l.placeSome(machines, d)
+		}
 		used[d.Team] = used[d.Team].Add(d.Each, float64(placed))
 		if placed < want {
 			// No machine takes one more of these: that is decided for the class.
@@ -94,6 +100,9 @@
 func (l *leader) placeCached(machines []*scheduler.Machine, d *scheduler.Demand, want int, excess scheduler.Excess) int {
 	d.CachedOnly = true
 	placed := l.placeSome(machines, d)
+	if placed < want && l.spreading.yieldRoom(machines, d, want-placed) {
+		placed += l.placeSome(machines, d)
+	}
 	coming := 0
 	if placed < want && l.cachedSomewhere(machines, d) {
 		coming = l.preempt(machines, d, want-placed, excess)
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -70,28 +70,36 @@
 	})
 }
 
-// readOptional reads the records of what operators have switched on.
+// optionalRecords are records of what operators have switched on.
+type optionalRecords struct {
+	prefix  string
+	restore func([]wire.Item)
+}
+
+// readOptional reads the records of what operators have switched on, one kind after the other.
 func (l *leader) readOptional(read func(prefix string, next func([]wire.Item)), done func()) {
-	fences := func() {
-		if l.cells == nil {
+	var kinds []optionalRecords
+	if l.zones != nil {
+		kinds = append(kinds, optionalRecords{zonePrefix, l.zones.restoreZones})
+	}
+	if l.cells != nil {
+		kinds = append(kinds, optionalRecords{floorPrefix, l.cells.restoreFloors}, optionalRecords{fencePrefix, l.cells.restoreFences})
+	}
+	if l.spreading != nil {
+		kinds = append(kinds, optionalRecords{movesKey, l.spreading.restoreMoves})
+	}
+	var next func(i int)
+	next = func(i int) {
+		if i == len(kinds) {
 			done()
 			return
 		}
-		read(floorPrefix, func(floors []wire.Item) {
-			read(fencePrefix, func(kept []wire.Item) {
-				l.cells.restore(floors, kept)
-				done()
-			})
+		read(kinds[i].prefix, func(items []wire.Item) {
+			kinds[i].restore(items)
+			next(i + 1)
 		})
 	}
-	if l.zones == nil {
-		fences()
-		return
-	}
-	read(zonePrefix, func(kept []wire.Item) {
-		l.zones.restoreZones(kept)
-		fences()
-	})
+	next(0)
 }
 
 // rebuild makes the leader's state from the records: what was running is
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -166,6 +166,7 @@
 // attemptSeen adopts an attempt that a report shows on its machine.
 func (l *leader) attemptSeen(a *attempt, state string) {
 	a.advance(attemptSeen)
+	a.saving = state == wire.TaskSaving
 	a.job.state.Start(a.task)
 	if state == wire.TaskRunning && a.phase < attemptRunning {
 		a.advance(attemptRunning)
--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -47,6 +47,8 @@
 		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.part,
 		Cap: capOf(t), Free: capOf(t), Images: m.images, Virtual: !m.up,
 	}
+	s.Fetching = l.spreading.fetching(m)
+	s.Free = s.Free.Add(l.spreading.heldOn(m.id), -1)
 	if faulty(m) {
 		s.Penalty = 1
 	}
--- /dev/null
+++ b/controller/spreading.go
@@ -0,0 +1,290 @@
+package controller
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"pumicefront/balance"
+	"pumicefront/reduction"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// Load spreading: the leader's part of package balance. A move is an ordinary stop and an ordinary
+// placement: nothing here proves an attempt gone, and room that is held is only room that others
+// don't get.
+
+// spreading is the leader's side of load spreading; nil where operators have not switched it on.
+type spreading struct {
+	*leader
+	ledger    *balance.Ledger
+	record    movesRecordCopy
+	plannedAt time.Time
+	sweptAt   time.Time
+	pausedTil time.Time // no plan before: the last one would have cost headroom
+	block     balance.Block
+}
+
+// MoveChanged tells of a step of a move.
+type MoveChanged struct {
+	balance.Change
+	At time.Time
+}
+
+func newSpreading(l *leader) *spreading {
+	if l.c.op.Spreading == nil {
+		return nil
+	}
+	return &spreading{leader: l, ledger: balance.NewLedger(l.c.op.Spreading.Settings, l.c.now)}
+}
+
+func (s *spreading) settings() *balance.Settings { return &s.c.op.Spreading.Settings }
+
+// keepsIdle reports whether operators keep idle machines for load to be spread over.
+func (s *spreading) keepsIdle() bool { return s != nil && s.settings().KeepIdle }
+
+// run follows the moves under way and begins new ones.
+func (s *spreading) run() {
+	if s == nil {
+		return
+	}
+	s.follow()
+	s.plan()
+}
+
+// follow looks what has become of the moves under way.
+func (s *spreading) follow() {
+	if s.ledger.Len() == 0 {
+		return
+	}
+	for _, e := range s.ledger.Entries() {
+		if change, any := s.ledger.Observe(s.c.now, e.TaskID, s.seen(e)); any {
+			s.changed(change)
+		}
+	}
+}
+
+// seen is what this leader knows of a task that is being moved.
+func (s *spreading) seen(e balance.Entry) balance.Seen {
+	j := s.jobs[e.Job]
+	if j == nil {
+		return balance.Seen{Completed: true}
+	}
+	to := s.machines[e.To]
+	seen := balance.Seen{
+		Cancelled: j.cancelled, Completed: j.state.Status(e.Index) == reduction.Completed,
+		DestinationLost: to == nil || !s.usable(to),
+	}
+	if a := j.attempts[e.Index]; a != nil {
+		seen.InForce, seen.Attempt, seen.Machine, seen.Running = true, a.number, a.machine.id, a.phase >= attemptRunning
+	}
+	return seen
+}
+
+// changed handles a step of a move.
+func (s *spreading) changed(change balance.Change) {
+	if to := s.machines[change.To]; to != nil {
+		to.snapshot = nil // what is held there may have changed
+	}
+	level := slog.LevelDebug
+	if change.Outcome != "" || change.Loss != "" && change.Loss != balance.LossOver {
+		level = slog.LevelInfo
+	}
+	s.c.log(level, "move", "job", change.Job, "task", change.Index, "from", change.From, "to", change.To,
+		"phase", change.Phase, "outcome", string(change.Outcome), "room_given_up", string(change.Loss), "after", s.c.now.Sub(change.Began))
+	s.c.emit(MoveChanged{change, s.c.now})
+	s.wantPlacement()
+}
+
+// begin stops the attempt that moves, and holds room for its task.
+func (s *spreading) begin(m balance.Move) {
+	a := s.jobs[m.Job].attempts[m.Index]
+	s.ledger.Begin(s.c.now, m, a.number)
+	entry, _ := s.ledger.Entry(m.TaskID)
+	s.changed(balance.Change{Entry: entry})
+	s.stop(a, graceOf(&a.job.spec))
+}
+
+// heldOn is the room that is held on a machine.
+func (s *spreading) heldOn(machine string) scheduler.Resources {
+	if s == nil || s.ledger.Len() == 0 {
+		return scheduler.Resources{}
+	}
+	return s.ledger.HeldOn(machine)
+}
+
+// fetching lists the images that a machine fetches for attempts in force.
+func (s *spreading) fetching(m *machine) map[string]bool {
+	if s == nil {
+		return nil
+	}
+	var images map[string]bool
+	for _, a := range m.list {
+		if a.fetches && a.starting() {
+			if images == nil {
+				images = map[string]bool{}
+			}
+			images[a.job.spec.Image] = true
+		}
+	}
+	return images
+}
+
+// prepare has the demands of a round placed evenly.
+func (s *spreading) prepare(demands []*scheduler.Demand, machines []*scheduler.Machine) {
+	if s == nil {
+		return
+	}
+	b := &scheduler.Balance{HotShare: s.settings().HotShare(s.expectedShare(demands, machines)), UseEmpty: s.settings().KeepIdle}
+	for _, d := range demands {
+		d.Balance = b
+		if d.OtherClasses == nil {
+			d.OtherClasses = s.otherClasses(d.Class)
+		}
+	}
+}
+
+// expectedShare is the mean share of the machines once all that waits is placed, as far as it fits.
+func (s *spreading) expectedShare(demands []*scheduler.Demand, machines []*scheduler.Machine) float64 {
+	all, used := 0.0, 0.0
+	for _, m := range machines {
+		if m.Free == m.Cap && !s.settings().KeepIdle {
+			continue
+		}
+		all += s.c.measure.Of(m.Cap)
+		used += s.c.measure.Of(m.Cap) - s.c.measure.Of(m.Free)
+	}
+	if all == 0 {
+		return 0
+	}
+	for _, d := range demands {
+		used += s.c.measure.Of(d.Each) * float64(len(d.Tasks))
+	}
+	return min(used/all, 1)
+}
+
+// reserve counts, for their teams, tasks whose old attempt is gone and that are not placed yet: others
+// of their team must not take their place in its limit.
+func (s *spreading) reserve(used map[string]scheduler.Resources) {
+	if s == nil {
+		return
+	}
+	for _, e := range s.ledger.Entries() {
+		if e.Phase == balance.Waiting && e.Held {
+			used[e.Team] = used[e.Team].Add(e.Each, 1)
+		}
+	}
+}
+
+// placeHeld places those of a demand's tasks for which room is held.
+func (s *spreading) placeHeld(machines []*scheduler.Machine, d *scheduler.Demand, used map[string]scheduler.Resources) {
+	if s == nil || s.ledger.Len() == 0 {
+		return
+	}
+	for _, task := range slices.Clone(d.Tasks) {
+		e, moving := s.ledger.Entry(balance.TaskID{Job: d.Job, Index: task})
+		if !moving || !e.Held {
+			continue
+		}
+		used[e.Team] = used[e.Team].Add(e.Each, -1)
+		p, placed := s.placeInHeld(machines, d, e, s.roomInTeam(d, used))
+		if !placed {
+			s.giveUp(e.TaskID, balance.LossDestination)
+			continue
+		}
+		s.assign(d, []scheduler.Assignment{p})
+		used[e.Team] = used[e.Team].Add(e.Each, 1)
+		d.Tasks = slices.DeleteFunc(slices.Clone(d.Tasks), func(t int) bool { return t == task })
+	}
+	s.follow()
+}
+
+// placeInHeld places a task in the room that is held for it. Either way that room is held no more.
+func (s *spreading) placeInHeld(machines []*scheduler.Machine, d *scheduler.Demand, e balance.Entry, roomInTeam int) (scheduler.Assignment, bool) {
+	i := slices.IndexFunc(machines, func(m *scheduler.Machine) bool { return m.ID == e.To })
+	if i < 0 {
+		return scheduler.Assignment{}, false
+	}
+	machines[i].Free = machines[i].Free.Add(e.Each, 1)
+	if roomInTeam == 0 {
+		return scheduler.Assignment{}, false
+	}
+	return scheduler.PlaceOn(machines[i], d, e.Index)
+}
+
+// giveUp gives up the room that is held for a task.
+func (s *spreading) giveUp(id balance.TaskID, why balance.Loss) {
+	if change, any := s.ledger.GiveUp(id, why); any {
+		s.changed(change)
+	}
+}
+
+// yieldRoom gives up held room where that lets tasks of an urgent demand fit, for as many as are missing,
+// and reports whether it did.
+func (s *spreading) yieldRoom(machines []*scheduler.Machine, d *scheduler.Demand, missing int) bool {
+	if s == nil || s.ledger.Len() == 0 || !d.Service && d.Rank > 0 && !d.WithinGuarantee {
+		return false
+	}
+	room := 0
+	for _, m := range machines {
+		if room >= missing {
+			break
+		}
+		free := m.Free
+		m.Free = free.Add(s.ledger.HeldOn(m.ID), 1)
+		if m.Free == free || !d.Fits(m) {
+			m.Free = free
+			continue
+		}
+		for _, e := range s.ledger.Entries() {
+			if e.Held && e.To == m.ID {
+				s.giveUp(e.TaskID, balance.LossUrgent)
+			}
+		}
+		room += m.Free.Fits(d.Each)
+	}
+	return room > 0
+}
+
+// withoutHeld leaves out the tasks for which room is held: nothing need be rented for them.
+func (s *spreading) withoutHeld(demands []*scheduler.Demand) []*scheduler.Demand {
+	if s == nil || s.ledger.Len() == 0 {
+		return demands
+	}
+	for _, d := range demands {
+		d.Tasks = slices.DeleteFunc(d.Tasks, func(task int) bool {
+			e, moving := s.ledger.Entry(balance.TaskID{Job: d.Job, Index: task})
+			return moving && e.Held
+		})
+	}
+	return demands
+}
+
+// moving reports whether any move is under way.
+func (s *spreading) moving() bool { return s != nil && s.ledger.Len() > 0 }
+
+// sweep forgets what is over, now and then.
+func (s *spreading) sweep() {
+	if s.c.now.Sub(s.sweptAt) >= time.Minute {
+		s.sweptAt = s.c.now
+		s.ledger.Sweep(s.c.now)
+	}
+}
+
+// stoppedBefore reports whether an attempt was shown saving that nobody has stopped here: an earlier
+// leader has.
+func (a *attempt) stoppedBefore() bool { return a.saving && !a.stopping }
+
+// replicasUp reports whether all tasks of a service run, and none of them is being stopped.
+func (j *job) replicasUp() bool {
+	if j.spec.Kind != wire.KindService || len(j.attempts) < j.spec.Tasks {
+		return false
+	}
+	for _, a := range j.attempts {
+		if a.phase < attemptRunning || a.stopping || a.saving {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/controller/spreading_plan.go
@@ -0,0 +1,225 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"pumicefront/balance"
+	"pumicefront/scheduler"
+	"pumicefront/wire"
+)
+
+// When moves may be begun, and the picture that they are planned from.
+
+// Intervals of planning.
+const (
+	planInterval       = time.Second
+	emptyPlanPause     = 4 * time.Second  // after a plan without moves, beside the interval
+	planPause          = 10 * time.Second // after a plan that would have cost headroom
+	lateRenewals       = 2                // of the leader's lifetime, one part is the longest time between renewals that are in time
+	freeBackgroundPart = 2                // of the burst of background writes, one part must be free
+)
+
+// plan begins the moves that are worth it, where nothing speaks against moves now.
+func (s *spreading) plan() {
+	if s.c.now.Sub(s.plannedAt) < planInterval || !s.c.now.Before(s.authority) {
+		return
+	}
+	s.plannedAt = s.c.now
+	s.sweep()
+	if s.block = s.blocked(); s.block != balance.NotBlocked {
+		return
+	}
+	machines := s.view(false)
+	picture := s.picture(machines)
+	others, listed := s.stoppedByOthers(), len(picture.Machines)
+	allowed := s.ledger.Allowance(s.c.now, listed, others)
+	if allowed.Moves == 0 || !s.skewed(&picture) {
+		return
+	}
+	s.listTasks(&picture)
+	moves := balance.Plan(picture, *s.settings(), allowed)
+	if len(moves) == 0 {
+		s.plannedAt = s.c.now.Add(emptyPlanPause)
+		return
+	}
+	if !s.recordMoves() {
+		return
+	}
+	moves = s.keepingHeadroom(machines, moves)
+	for _, m := range moves {
+		s.begin(m)
+	}
+}
+
+// blocked tells what speaks against any move now.
+func (s *spreading) blocked() balance.Block {
+	switch {
+	case !s.c.now.Before(s.authority) || s.c.now.Sub(s.renewed) > s.c.op.LeaderLifetime()/lateRenewals:
+		return balance.NoLease
+	case !s.allReported():
+		return balance.Unheard
+	case s.partitions.any():
+		return balance.NetworkFault
+	case s.zones.recovering():
+		return balance.Recovering
+	case s.c.now.Before(s.pausedTil):
+		return balance.HeadroomShort
+	case s.workWaits():
+		return balance.WorkWaits
+	case s.budget.left(s.c.now)*freeBackgroundPart < s.budget.burst():
+		return balance.WritesShort
+	}
+	return balance.NotBlocked
+}
+
+// allReported reports whether this leader has listened for as long as workers take to find it, and every
+// machine that runs something has reported to it.
+func (s *spreading) allReported() bool {
+	now := s.c.now
+	if now.Sub(s.elected) <= s.findsLeaderWithin() || now.Sub(s.listening.began) <= s.reportDue(time.Second) {
+		return false
+	}
+	return !slices.ContainsFunc(s.fleetOrder, func(m *machine) bool { return len(m.attempts) > 0 && !m.up })
+}
+
+// workWaits reports whether tasks wait to be placed, those apart that are being moved or that their
+// own team's limit holds back.
+func (s *spreading) workWaits() bool {
+	used := s.teamUse()
+	return slices.ContainsFunc(s.demands(), func(d *scheduler.Demand) bool {
+		waits := slices.ContainsFunc(d.Tasks, func(task int) bool {
+			_, moving := s.ledger.Entry(balance.TaskID{Job: d.Job, Index: task})
+			return !moving
+		})
+		return waits && s.roomInTeam(d, used) > 0
+	})
+}
+
+// stoppedByOthers counts the tasks that an earlier leader has stopped: they may be moves of its.
+func (s *spreading) stoppedByOthers() int {
+	count := 0
+	for _, m := range s.fleetOrder {
+		for _, a := range m.list {
+			if a.stoppedBefore() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// pictured is a machine as it was when the picture was drawn.
+type pictured struct {
+	*scheduler.Machine
+	used scheduler.Resources
+}
+
+// picture draws the machines that count, without their tasks. What is being stopped is on its way off;
+// what is held is on its way here.
+func (s *spreading) picture(machines []*scheduler.Machine) balance.Picture {
+	byID := make(map[string]pictured, len(machines))
+	p := balance.Picture{Machines: make([]balance.Machine, 0, len(machines))}
+	for _, m := range machines {
+		empty := m.Free == m.Cap
+		if m.Penalty > 0 || empty && !s.settings().KeepIdle {
+			continue
+		}
+		used := m.Cap.Add(m.Free, -1).Add(m.Soon, -1)
+		byID[m.ID] = pictured{m, used}
+		p.Machines = append(p.Machines, balance.Machine{ID: m.ID, Size: s.c.measure.Of(m.Cap), Cap: m.Cap, Used: used})
+	}
+	p.HasImage = func(m *balance.Machine, image string) bool { return byID[m.ID].Images[image] }
+	demands := map[balance.TaskID]*scheduler.Demand{}
+	p.Fits = func(t *balance.Task, to *balance.Machine) bool {
+		d := demands[t.TaskID]
+		if d == nil {
+			d = s.demandOfMove(t.TaskID)
+			demands[t.TaskID] = d
+		}
+		m := *byID[to.ID].Machine
+		m.Free = m.Free.Add(to.Used, -1).Add(byID[to.ID].used, 1) // other moves of the plan may go there
+		return m.Spot == s.jobs[t.Job].attempts[t.Index].machine.spot && d.Fits(&m)
+	}
+	return p
+}
+
+// demandOfMove is what a running task asks of another machine.
+func (s *spreading) demandOfMove(id balance.TaskID) *scheduler.Demand {
+	j := s.jobs[id.Job]
+	d := s.c.demandOf(&j.spec)
+	d.Avoid, d.RoomInTeam, d.CachedOnly = j.avoid, 1, d.Service
+	for task, a := range j.attempts {
+		if task != id.Index {
+			d.InZone[a.machine.zone]++
+		}
+	}
+	return d
+}
+
+// skewed reports whether any machine is hot.
+func (s *spreading) skewed(p *balance.Picture) bool {
+	hot := s.settings().HotShare(balance.Distribute(p.Machines).Mean)
+	return slices.ContainsFunc(p.Machines, func(m balance.Machine) bool { return m.Share() > hot })
+}
+
+// listTasks lists the tasks of hot machines that may be moved.
+func (s *spreading) listTasks(p *balance.Picture) {
+	hot := s.settings().HotShare(balance.Distribute(p.Machines).Mean)
+	tolerances := newTolerances(s)
+	for i := range p.Machines {
+		m := &p.Machines[i]
+		if m.Share() <= hot {
+			continue
+		}
+		for _, a := range s.machines[m.ID].list {
+			if why, cost := tolerances.of(a); why == balance.Movable {
+				m.Tasks = append(m.Tasks, a.movableTask(cost))
+			}
+		}
+	}
+}
+
+// movableTask describes an attempt's task, whose move costs so many seconds.
+func (a *attempt) movableTask(cost float64) balance.Task {
+	t := balance.Task{TaskID: a.moveID(), Team: a.job.spec.Team, Each: a.job.terms.Each, Cost: cost}
+	if a.job.spec.Kind == wire.KindService {
+		t.OnlyImage = a.job.spec.Image
+	}
+	return t
+}
+
+// moveID names an attempt's task.
+func (a *attempt) moveID() balance.TaskID { return balance.TaskID{Job: a.job.id, Index: a.task} }
+
+// keepingHeadroom returns as many of the moves as leave all headroom its room: all, the best one, or none.
+func (s *spreading) keepingHeadroom(machines []*scheduler.Machine, moves []balance.Move) []balance.Move {
+	before := s.headroomPlaced(machines, nil)
+	for _, some := range [][]balance.Move{moves, moves[:1]} {
+		if s.headroomPlaced(machines, some) >= before {
+			return some
+		}
+	}
+	s.pausedTil = s.c.now.Add(planPause)
+	return nil
+}
+
+// headroomPlaced counts the headroom that has room when moves are under way: their destinations are
+// taken, and their sources not free yet.
+func (s *spreading) headroomPlaced(machines []*scheduler.Machine, moves []balance.Move) int {
+	taken := map[string]scheduler.Resources{}
+	for _, m := range moves {
+		taken[m.To] = taken[m.To].Add(m.Each, 1)
+	}
+	copies := make([]*scheduler.Machine, len(machines))
+	for i, m := range machines {
+		c := *m
+		c.Free = c.Free.Add(taken[c.ID], -1)
+		copies[i] = &c
+	}
+	placed := 0
+	for _, d := range s.headroom() {
+		placed += len(scheduler.Place(copies, d))
+	}
+	return placed
+}
--- a/controller/zone_recovery.go
+++ b/controller/zone_recovery.go
@@ -80,8 +80,8 @@
 }
 
 // findsLeaderWithin is how long the workers of healthy zones take to report to a new leader.
-func (z *zoneRecovery) findsLeaderWithin() time.Duration {
-	return z.reportDue(time.Second) + config.Seconds(z.c.cfg.Facts.Workers.ReportS)
+func (l *leader) findsLeaderWithin() time.Duration {
+	return l.reportDue(time.Second) + config.Seconds(l.c.cfg.Facts.Workers.ReportS)
 }
 
 // health counts the machines of every zone by whether they report. A zone whose reports arrive by
--- a/internal/sim/measure_test.go
+++ b/internal/sim/measure_test.go
@@ -29,8 +29,8 @@
 // TestMeasureSpread prints the figures of docs/load-spreading.md; it is run by hand:
 // PUMICEFRONT_SPREAD_MEASURE=20,400,4000 go test -v -timeout 30m ./internal/sim -run TestMeasureSpread
 func TestMeasureSpread(t *testing.T) {
-	measure(t, "PUMICEFRONT_SPREAD_MEASURE", "PUMICEFRONT_SPREAD_SEEDS", []string{"off"}, func(machines int, seed uint64, _ string) (fmt.Stringer, []string) {
-		r := newSpreadRun(machines, seed)
+	measure(t, "PUMICEFRONT_SPREAD_MEASURE", "PUMICEFRONT_SPREAD_SEEDS", []string{"off", "on"}, func(machines int, seed uint64, mode string) (fmt.Stringer, []string) {
+		r := newSpreadRun(machines, seed, mode == "on")
 		r.play()
 		return r, r.w.Rules
 	})
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -196,6 +196,8 @@
 		n.w.noteZone(o)
 	case controller.TaskRestarted:
 		n.w.noteTaskRestart(o)
+	case controller.MoveChanged:
+		n.w.noteMove(n, o)
 	case controller.Event:
 		n.w.Log("%v %s %s %v", n.w.now, n.name, o.Text, o.Attrs)
 	}
--- /dev/null
+++ b/internal/sim/spread_faults.go
@@ -0,0 +1,42 @@
+package sim
+
+import (
+	"pumicefront/balance"
+	"pumicefront/config"
+	"pumicefront/controller"
+)
+
+// Runs in which load is spread, and what is noted of the moves.
+
+// spreadLoad switches load spreading on, with settings that a run may change; controllers that run
+// already start anew.
+func (w *World) spreadLoad(change func(*balance.Settings)) {
+	w.setSpreading(change)
+	for _, n := range w.nodes {
+		n.boot()
+	}
+}
+
+// setSpreading has controllers that start from now on spread load.
+func (w *World) setSpreading(change func(*balance.Settings)) {
+	settings := balance.DefaultSettings()
+	if change != nil {
+		change(&settings)
+	}
+	w.op.Spreading = &config.LoadSpreading{Settings: settings}
+}
+
+// noteMove notes a step of a move.
+func (w *World) noteMove(n *node, m controller.MoveChanged) {
+	w.moves = append(w.moves, m)
+	w.coverage["a move is "+m.Phase.String()]++
+	if m.Outcome != "" {
+		w.coverage["a move ends: "+string(m.Outcome)]++
+	}
+	if m.Loss != "" && m.Loss != balance.LossOver {
+		w.coverage["held room is given up: "+string(m.Loss)]++
+	}
+	if w.onMove != nil {
+		w.onMove(n, m)
+	}
+}
--- a/internal/sim/spread_measure.go
+++ b/internal/sim/spread_measure.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pumicefront/balance"
 	"pumicefront/wire"
 )
 
@@ -40,7 +41,10 @@
 }
 
 // even reports whether the fleet counts as even.
-func (s spreadSampled) even() bool { return s.maximum <= evenMaximum && s.variation <= evenVariation }
+func (s spreadSampled) even() bool {
+	const rounding = 1e-9
+	return s.maximum <= evenMaximum+rounding && s.variation <= evenVariation
+}
 
 // spreadRun is a measured run.
 type spreadRun struct {
@@ -50,14 +54,15 @@
 	fetches  int // starts that waited for an image, from the skew on
 	missing  time.Duration
 	replicas int
-	starts   map[string][]time.Duration // of each replica
+	on       bool                       // load is spread from the switch on
+	starts   map[string][]time.Duration // of each replica, from the switch on
 	names    []string                   // of the machines, in the order of shares
 }
 
 // newSpreadRun prepares a fleet of so many like machines that are all kept, with its load: one team
 // with two images of which it starts much on few machines, over a background of another team; about
 // seven tenths of the cores are in use.
-func newSpreadRun(machines int, seed uint64) *spreadRun {
+func newSpreadRun(machines int, seed uint64, on bool) *spreadRun {
 	cores := float64(machines) * spreadMachineCores
 	w := New(seed, Shape{Controllers: 3, Machines: machines, Scale: cores / 16, Tasks: 50})
 	w.deterministic = true
@@ -68,7 +73,7 @@
 	for _, n := range w.nodes {
 		n.boot()
 	}
-	r := &spreadRun{w: w, machines: machines, starts: map[string][]time.Duration{}}
+	r := &spreadRun{w: w, on: on, machines: machines, starts: map[string][]time.Duration{}}
 	r.submitLoad(cores)
 	return r
 }
@@ -94,10 +99,10 @@
 		w.after(spreadSkewAt+w.between(0, 20*time.Second), func() {
 			if i%2 == 0 {
 				r.replicas += 4
-				enter(wire.Job{Class: "web", Team: "blue", Kind: wire.KindService, Priority: "high", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i%6)}, 0)
+				enter(wire.Job{Class: "web", Team: "blue", Kind: wire.KindService, Priority: "high", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i/2%6)}, 0)
 				return
 			}
-			enter(wire.Job{Class: "bulk", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i%6),
+			enter(wire.Job{Class: "bulk", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i/2%6),
 				EstimateS: 1800, CheckpointS: 20, SaveS: 1}, 30*time.Minute)
 		})
 	}
@@ -139,6 +144,9 @@
 
 // restartControllers starts the controllers anew, one after the other, with the settings as they are.
 func (r *spreadRun) restartControllers() {
+	if r.on {
+		r.w.setSpreading(func(s *balance.Settings) { s.KeepIdle = true })
+	}
 	for i, n := range r.w.nodes {
 		r.w.after(time.Duration(i)*3*time.Second, func() { n.crash(time.Second) })
 	}
@@ -254,7 +262,41 @@
 		}
 		return "never"
 	}
-	return line + fmt.Sprintf("even after the skew: %s, after the drain: %s; %d machines, %d replicas, %.0f replica-s missing (%.2f%%), %d fetches, processor %.1f s",
+	return line + fmt.Sprintf("even after the skew: %s, after the drain: %s; %d machines, %d replicas, %.0f replica-s missing (%.2f%%), %d fetches, %s, moved twice in ten minutes: %d, processor %.1f s",
 		even(spreadSwitchAt, spreadDrainAt-time.Second), even(spreadBackAt, spreadEnd), len(r.w.hostsUp()), r.replicas, r.missing.Seconds(),
-		100*r.missing.Seconds()/(float64(r.replicas)*(spreadEnd-spreadSwitchAt).Seconds()), r.fetches, r.w.processor.Seconds())
+		100*r.missing.Seconds()/(float64(r.replicas)*(spreadEnd-spreadSwitchAt).Seconds()), r.fetches, r.outcomes(), r.movedTwice(), r.w.processor.Seconds())
+}
+
+// outcomes tells how moves have ended.
+func (r *spreadRun) outcomes() string {
+	services, arrays := 0, 0
+	ended := map[balance.Outcome]int{}
+	for _, m := range r.w.moves {
+		if m.Outcome == "" {
+			continue
+		}
+		ended[m.Outcome]++
+		if j := r.w.users.jobs[m.Job]; j.spec.Kind == wire.KindService {
+			services++
+		} else {
+			arrays++
+		}
+	}
+	return fmt.Sprintf("moves of %d replicas and %d tasks %v", services, arrays, ended)
+}
+
+// movedTwice counts the replicas that were moved again within ten minutes.
+func (r *spreadRun) movedTwice() int {
+	last := map[balance.TaskID]time.Time{}
+	count := 0
+	for _, m := range r.w.moves {
+		if m.Outcome != "" || m.Phase != balance.Stopping || !m.Held || m.Began != m.At {
+			continue
+		}
+		if at, before := last[m.TaskID]; before && m.At.Sub(at) < 10*time.Minute {
+			count++
+		}
+		last[m.TaskID] = m.At
+	}
+	return count
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -44,9 +44,11 @@
 	cluster       *Cluster               // the cells that this one belongs to; nil: it is alone
 	place         int                    // among them
 	onStart       func(h *host, t *task) // called when a task starts
-	onFetch       func()                 // called when a start has to fetch its image
-	alwaysUp      bool                   // machines all come up, and none is faulty
-	processor     time.Duration          // that the controllers' cores took
+	onMove        func(n *node, m controller.MoveChanged)
+	moves         []controller.MoveChanged // every step of every move
+	onFetch       func()                   // called when a start has to fetch its image
+	alwaysUp      bool                     // machines all come up, and none is faulty
+	processor     time.Duration            // that the controllers' cores took
 	keepHistory   bool
 	history       []history.Event
 	live          *live    // real controllers in real time; nil: cores in virtual time
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -16,8 +16,9 @@
 	Cap, Free      Resources
 	Soon           Resources // becomes free when stopped tasks are gone
 	Images         map[string]bool
-	Penalty        int  // suspected faulty: taken last
-	Virtual        bool // booting, or only thought of: counts for the fleet alone
+	Fetching       map[string]bool // images that are being fetched; counted where load is balanced alone
+	Penalty        int             // suspected faulty: taken last
+	Virtual        bool            // booting, or only thought of: counts for the fleet alone
 	Tasks          []Victim
 }
 
@@ -79,15 +80,17 @@
 type candidate struct {
 	*Machine
 	uncached, unwanted, displaced int
+	even                          evenness
 }
 
 func (d *Demand) candidate(m *Machine) candidate {
-	return candidate{m, flag(!m.Images[d.Image]), flag(d.Spot && m.Spot == d.KeepOffSpot), d.displaced(m)}
+	return candidate{m, flag(!d.hasImage(m)), flag(d.Spot && m.Spot == d.KeepOffSpot), d.displaced(m), d.evenness(m)}
 }
 
 // prefer orders machines for one task. Alike otherwise, the one comes first where
 // it costs other classes least room; of those the fullest, so that empty ones can
-// be returned, or for a demand that spreads images the emptiest.
+// be returned, or for a demand that spreads images the emptiest. Where load is balanced, a
+// machine that would be hot comes after all that would not, and the smallest share first.
 func (d *Demand) prefer(a, b candidate) int {
 	c := cmp.Compare(a.Penalty, b.Penalty)
 	if d.KeepOffSpot {
@@ -96,12 +99,15 @@
 	if d.WaitForBooting {
 		c = cmp.Or(c, cmp.Compare(a.displaced, b.displaced))
 	}
-	c = cmp.Or(c, cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.unwanted, b.unwanted),
+	c = cmp.Or(c, a.even.compare(b.even), cmp.Compare(a.uncached, b.uncached), cmp.Compare(a.unwanted, b.unwanted),
 		cmp.Compare(a.displaced, b.displaced))
 	fuller := cmp.Compare(d.Measure.Of(a.Free), d.Measure.Of(b.Free))
 	if d.SpreadImages {
 		fuller = -fuller
 	}
+	if d.Balance != nil {
+		fuller = cmp.Compare(a.even.share, b.even.share)
+	}
 	return cmp.Or(c, fuller, cmp.Compare(a.ID, b.ID))
 }
 
@@ -164,6 +170,7 @@
 		}
 		m.Free = m.Free.Add(d.Each, -1)
 		d.countStarts(m, 1)
+		d.noteFetch(m)
 		out = append(out, Assignment{d.Tasks[len(out)], m})
 		r.cs[0] = d.candidate(m)
 		heap.Fix(r, 0)
@@ -186,8 +193,8 @@
 		if m.Penalty > 0 {
 			continue
 		}
-		if m.Images[d.Image] {
-			r.cached += n
+		if d.hasImage(m) {
+			r.cached += d.coolRoom(m)
 		}
 		if len(d.OtherClasses) > 0 && (d.WaitForBooting || m.Images[d.Image]) && !d.suitsOthers(m.Cap) {
 			r.apart += n
