--- a/controller/spreading.go
+++ b/controller/spreading.go
@@ -29,7 +29,8 @@
 // MoveChanged tells of a step of a move.
 type MoveChanged struct {
 	balance.Change
-	At time.Time
+	Term uint64 // of the leader: its token when it was elected
+	At   time.Time
 }
 
 func newSpreading(l *leader) *spreading {
@@ -93,7 +94,7 @@
 	}
 	s.c.log(level, "move", "job", change.Job, "task", change.Index, "from", change.From, "to", change.To,
 		"phase", change.Phase, "outcome", string(change.Outcome), "room_given_up", string(change.Loss), "after", s.c.now.Sub(change.Began))
-	s.c.emit(MoveChanged{change, s.c.now})
+	s.c.emit(MoveChanged{change, s.electedToken, s.c.now})
 	s.wantPlacement()
 }
 
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -124,6 +124,13 @@
 
 func (h *host) setHung(on bool) {
 	h.hung = on
+	if on { // what is on it is killed before it goes on after its lease
+		h.w.after(h.leaseEnd()-h.w.now, func() {
+			if h.hung && !h.gone && h.w.now >= h.leaseEnd() {
+				h.noteEnds()
+			}
+		})
+	}
 	if !on && !h.gone {
 		h.expire()
 		frozen := h.whileHung
@@ -387,6 +394,9 @@
 		_, n, _ := wire.SplitTask(t.id)
 		t.job.saved[n] += h.w.now - t.started
 		h.exit(t, wire.WhyStopped)
+		if h.w.onSaved != nil {
+			h.w.onSaved(t)
+		}
 	})
 }
 
@@ -477,16 +487,20 @@
 			run = 0
 		}
 		h.later(t, run, func() {
-			if t.state == wire.TaskSaving {
-				return // it ends when it has saved, and has nothing left to do
-			}
-			j.done[n] = true
-			h.exit(t, wire.WhyDone)
-			h.w.noteTaskEnd(j)
-			if j.left() == 0 && !j.ended {
-				j.ended = true
-				h.w.users.ended(j)
+			if t.state != wire.TaskSaving { // it ends when it has saved, and has nothing left to do
+				h.finish(t, j, n)
 			}
 		})
 	}
 }
+
+// finish ends an array's task that is done.
+func (h *host) finish(t *task, j *simJob, n int) {
+	j.done[n] = true
+	h.exit(t, wire.WhyDone)
+	h.w.noteTaskEnd(j)
+	if j.left() == 0 && !j.ended {
+		j.ended = true
+		h.w.users.ended(j)
+	}
+}
--- a/internal/sim/measure_test.go
+++ b/internal/sim/measure_test.go
@@ -30,7 +30,7 @@
 // PUMICEFRONT_SPREAD_MEASURE=20,400,4000 go test -v -timeout 30m ./internal/sim -run TestMeasureSpread
 func TestMeasureSpread(t *testing.T) {
 	measure(t, "PUMICEFRONT_SPREAD_MEASURE", "PUMICEFRONT_SPREAD_SEEDS", []string{"off", "on"}, func(machines int, seed uint64, mode string) (fmt.Stringer, []string) {
-		r := newSpreadRun(machines, seed, mode == "on")
+		r := newSpreadRun(defaultSpread(machines, seed, mode == "on"))
 		r.play()
 		return r, r.w.Rules
 	})
--- a/internal/sim/spread_faults.go
+++ b/internal/sim/spread_faults.go
@@ -8,15 +8,6 @@
 
 // Runs in which load is spread, and what is noted of the moves.
 
-// spreadLoad switches load spreading on, with settings that a run may change; controllers that run
-// already start anew.
-func (w *World) spreadLoad(change func(*balance.Settings)) {
-	w.setSpreading(change)
-	for _, n := range w.nodes {
-		n.boot()
-	}
-}
-
 // setSpreading has controllers that start from now on spread load.
 func (w *World) setSpreading(change func(*balance.Settings)) {
 	settings := balance.DefaultSettings()
--- a/internal/sim/spread_measure.go
+++ b/internal/sim/spread_measure.go
@@ -46,15 +46,26 @@
 	return s.maximum <= evenMaximum+rounding && s.variation <= evenVariation
 }
 
+// spreadOptions are what one run differs by from another.
+type spreadOptions struct {
+	machines    int
+	controllers int
+	seed        uint64
+	on          bool                    // load is spread from the switch on
+	change      func(*balance.Settings) // of the settings, if any
+	arrayRun    time.Duration           // how long the tasks of arrays run
+	constrained bool                    // jobs are bound to zones, to one zone, or scattered over zones
+	empty       bool                    // nothing runs but what is submitted beside
+}
+
 // spreadRun is a measured run.
 type spreadRun struct {
+	spreadOptions
 	w        *World
-	machines int
 	samples  []spreadSampled
 	fetches  int // starts that waited for an image, from the skew on
 	missing  time.Duration
 	replicas int
-	on       bool                       // load is spread from the switch on
 	starts   map[string][]time.Duration // of each replica, from the switch on
 	names    []string                   // of the machines, in the order of shares
 }
@@ -62,18 +73,18 @@
 // newSpreadRun prepares a fleet of so many like machines that are all kept, with its load: one team
 // with two images of which it starts much on few machines, over a background of another team; about
 // seven tenths of the cores are in use.
-func newSpreadRun(machines int, seed uint64, on bool) *spreadRun {
-	cores := float64(machines) * spreadMachineCores
-	w := New(seed, Shape{Controllers: 3, Machines: machines, Scale: cores / 16, Tasks: 50})
+func newSpreadRun(o spreadOptions) *spreadRun {
+	cores := float64(o.machines) * spreadMachineCores
+	w := New(o.seed, Shape{Controllers: o.controllers, Machines: o.machines, Scale: cores / 16, Tasks: 50})
 	w.deterministic = true
-	w.cloud.most = machines
+	w.cloud.most = o.machines
 	w.op.IdleS = 24 * 3600
 	w.cfg.Facts.State.RPS, w.cfg.Facts.State.WriteRPS, w.cfg.Facts.State.TxnOps = 350, 150, 32
 	w.alwaysUp = true
 	for _, n := range w.nodes {
 		n.boot()
 	}
-	r := &spreadRun{w: w, on: on, machines: machines, starts: map[string][]time.Duration{}}
+	r := &spreadRun{spreadOptions: o, w: w, starts: map[string][]time.Duration{}}
 	r.submitLoad(cores)
 	return r
 }
@@ -92,32 +103,45 @@
 	}
 	// One task for each machine, so that all of them are rented.
 	w.after(time.Second, func() {
-		enter(wire.Job{Class: "boot", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: r.machines, CPUs: spreadMachineCores, Image: "img-boot"}, 10*time.Second)
+		for i, zone := range w.shape.zones() {
+			tasks := (r.machines + i) / len(w.shape.zones())
+			enter(wire.Job{Class: "boot", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: tasks, CPUs: spreadMachineCores, Image: "img-boot", Zone: zone}, 10*time.Second)
+		}
 	})
+	submit := func(i int, team, image string, service bool) {
+		spec := wire.Job{Class: "bulk", Team: team, Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: image,
+			EstimateS: r.arrayRun.Seconds(), CheckpointS: 20, SaveS: 1}
+		if service {
+			r.replicas += spec.Tasks
+			spec.Class, spec.Kind, spec.Priority, spec.EstimateS, spec.CheckpointS, spec.SaveS = "web", wire.KindService, "high", 0, 0, 0
+		}
+		if r.constrained {
+			constrain(&spec, i)
+		}
+		enter(spec, r.arrayRun)
+	}
+	if r.empty {
+		return
+	}
 	background := int(cores * 0.3 / each / 4)
 	for i := range background {
-		w.after(spreadSkewAt+w.between(0, 20*time.Second), func() {
-			if i%2 == 0 {
-				r.replicas += 4
-				enter(wire.Job{Class: "web", Team: "blue", Kind: wire.KindService, Priority: "high", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i/2%6)}, 0)
-				return
-			}
-			enter(wire.Job{Class: "bulk", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: fmt.Sprintf("img-%d", i/2%6),
-				EstimateS: 1800, CheckpointS: 20, SaveS: 1}, 30*time.Minute)
-		})
+		w.after(spreadSkewAt+w.between(0, 20*time.Second), func() { submit(i, "blue", fmt.Sprintf("img-%d", i/2%6), i%2 == 0) })
 	}
 	hot := int(cores * 0.4 / each / 4)
 	for i := range hot {
-		w.after(spreadSkewAt+20*time.Second+w.between(0, 20*time.Second), func() {
-			image := fmt.Sprintf("img-hot-%d", i%2)
-			if i%4 < 2 {
-				r.replicas += 4
-				enter(wire.Job{Class: "web", Team: "red", Kind: wire.KindService, Priority: "high", Tasks: 4, CPUs: each, Image: image}, 0)
-				return
-			}
-			enter(wire.Job{Class: "bulk", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 4, CPUs: each, Image: image,
-				EstimateS: 1800, CheckpointS: 20, SaveS: 1}, 30*time.Minute)
-		})
+		w.after(spreadSkewAt+20*time.Second+w.between(0, 20*time.Second), func() { submit(i, "red", fmt.Sprintf("img-hot-%d", i%2), i%4 < 2) })
+	}
+}
+
+// constrain binds jobs to a zone, to one zone, or scatters them, in turn.
+func constrain(spec *wire.Job, i int) {
+	switch i / 2 % 4 {
+	case 0:
+		spec.OneZone = true
+	case 1:
+		spec.Spread = true
+	case 2:
+		spec.Zone = []string{"a", "b"}[i%2]
 	}
 }
 
@@ -142,10 +166,20 @@
 	w.Run(spreadEnd)
 }
 
+// defaultSpread are the options of a measurement.
+func defaultSpread(machines int, seed uint64, on bool) spreadOptions {
+	return spreadOptions{machines: machines, controllers: 3, seed: seed, on: on, arrayRun: 30 * time.Minute}
+}
+
 // restartControllers starts the controllers anew, one after the other, with the settings as they are.
 func (r *spreadRun) restartControllers() {
 	if r.on {
-		r.w.setSpreading(func(s *balance.Settings) { s.KeepIdle = true })
+		r.w.setSpreading(func(s *balance.Settings) {
+			s.KeepIdle = true
+			if r.change != nil {
+				r.change(s)
+			}
+		})
 	}
 	for i, n := range r.w.nodes {
 		r.w.after(time.Duration(i)*3*time.Second, func() { n.crash(time.Second) })
@@ -262,8 +296,8 @@
 		}
 		return "never"
 	}
-	return line + fmt.Sprintf("even after the skew: %s, after the drain: %s; %d machines, %d replicas, %.0f replica-s missing (%.2f%%), %d fetches, %s, moved twice in ten minutes: %d, processor %.1f s",
-		even(spreadSwitchAt, spreadDrainAt-time.Second), even(spreadBackAt, spreadEnd), len(r.w.hostsUp()), r.replicas, r.missing.Seconds(),
+	return line + fmt.Sprintf("even after the skew: %s, after the drain: %s; %d machines rented, %d replicas, %.0f replica-s missing (%.2f%%), %d fetches, %s, moved twice in ten minutes: %d, processor %.1f s",
+		even(spreadSwitchAt, spreadDrainAt-time.Second), even(spreadBackAt, spreadEnd), len(r.w.hosts), r.replicas, r.missing.Seconds(),
 		100*r.missing.Seconds()/(float64(r.replicas)*(spreadEnd-spreadSwitchAt).Seconds()), r.fetches, r.outcomes(), r.movedTwice(), r.w.processor.Seconds())
 }
 
