--- a/balance/plan.go
+++ b/balance/plan.go
@@ -220,13 +220,35 @@
 	p.use(c.to, c.to.Used.Add(t.Each, 1))
 }
 
-// use changes what is used of a machine, and keeps the order by share.
+// use changes what is used of a machine, and keeps every list in order.
 func (p *planner) use(m *Machine, used scheduler.Resources) {
-	at, _ := slices.BinarySearchFunc(p.byShare, m, compareShares)
-	p.byShare = slices.Delete(p.byShare, at, at+1)
+	p.byShare = without(p.byShare, m)
+	var images []string
+	for image, list := range p.byImage {
+		if shorter := without(list, m); len(shorter) < len(list) {
+			p.byImage[image] = shorter
+			images = append(images, image)
+		}
+	}
 	m.Used = used
 	m.share = m.Share()
-	at, _ = slices.BinarySearchFunc(p.byShare, m, compareShares)
-	p.byShare = slices.Insert(p.byShare, at, m)
-	clear(p.byImage) // in another order now
+	p.byShare = with(p.byShare, m)
+	for _, image := range images {
+		p.byImage[image] = with(p.byImage[image], m)
+	}
+}
+
+// without takes a machine off a list that is in order, if it is there.
+func without(list []*Machine, m *Machine) []*Machine {
+	at, found := slices.BinarySearchFunc(list, m, compareShares)
+	if !found {
+		return list
+	}
+	return slices.Delete(list, at, at+1)
+}
+
+// with puts a machine into a list that is in order.
+func with(list []*Machine, m *Machine) []*Machine {
+	at, _ := slices.BinarySearchFunc(list, m, compareShares)
+	return slices.Insert(list, at, m)
 }
--- a/controller/fixtures_test.go
+++ b/controller/fixtures_test.go
@@ -12,7 +12,7 @@
 )
 
 // leading returns a core that leads, with one job of two tasks.
-func leading(t *testing.T) (*Core, *leader, *job) {
+func leading(t testing.TB) (*Core, *leader, *job) {
 	t.Helper()
 	var cfg config.Platform
 	cfg.Member = "n0"
