pumicefront spread, spans of moves; views and span files of zones, cells and spread made one

Need: operators must see which machines are hot, what moves, and why the rest stays. Change: status endpoint, pumicefront spread (statusview, generic over the kind of status), movetrace; spanexport opens and closes the files of spans, which were left open at the end.

--- a/cellview/cellview.go
+++ b/cellview/cellview.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -13,19 +12,11 @@
 
 	"pumicefront/cells"
 	"pumicefront/statusclient"
+	"pumicefront/statusview"
 )
 
-// Print writes the status of a cell once.
-func Print(ctx context.Context, out io.Writer, addresses []string) error {
-	status, err := statusclient.Fetch[cells.Status](ctx, addresses, cells.StatusPath)
-	if err != nil {
-		return err
-	}
-	if _, err := io.WriteString(out, Render(status)); err != nil {
-		return fmt.Errorf("write status: %w", err)
-	}
-	return nil
-}
+// View shows a cell's links.
+var View = statusview.View[cells.Status]{Path: cells.StatusPath, Render: Render}
 
 // Render writes a status as lines of text.
 func Render(s cells.Status) string {
--- a/cellview/cellview_test.go
+++ b/cellview/cellview_test.go
@@ -42,7 +42,7 @@
 	follower := controller(t, cells.Status{Member: "n0", Leader: "n1"}, nil)
 	addresses := []string{follower, controller(t, leader, &declared)}
 	var out bytes.Buffer
-	if err := Print(context.Background(), &out, addresses); err != nil {
+	if err := View.Print(context.Background(), &out, addresses); err != nil {
 		t.Fatal(err)
 	}
 	for _, part := range []string{"cell gent", "joburg   3 s ago   0", "up to 5 by an operator", "brussel  never     4", "red   out  2     30", "blue  in   1     4"} {
@@ -50,7 +50,7 @@
 			t.Errorf("no %q in\n%s", part, out.String())
 		}
 	}
-	if err := Print(context.Background(), &out, addresses[:1]); !errors.Is(err, statusclient.ErrNoLeader) {
+	if err := View.Print(context.Background(), &out, addresses[:1]); !errors.Is(err, statusclient.ErrNoLeader) {
 		t.Errorf("without a leader: %v", err)
 	}
 	if err := DeclareGone(context.Background(), addresses, "joburg", "an operator"); err != nil || declared != "joburg by an operator" {
--- a/cmd/pumicefront/main.go
+++ b/cmd/pumicefront/main.go
@@ -16,6 +16,9 @@
 	"pumicefront/cellview"
 	"pumicefront/config"
 	"pumicefront/server"
+	"pumicefront/spreadview"
+	"pumicefront/statusclient"
+	"pumicefront/statusview"
 	"pumicefront/zoneview"
 )
 
@@ -66,20 +69,31 @@
 	return nil
 }
 
-type zonesCmd struct {
+// viewFlags are those of commands that show a status.
+type viewFlags struct {
 	Address  []string      `help:"Status endpoint of a controller (status_listen in its settings); may be given several times." required:""`
 	Interval time.Duration `help:"How often to ask again, in a terminal." default:"1s"`
 	Once     bool          `help:"Print plain lines once, in a terminal too."`
 }
 
-// Run shows the zones until its user ends it, or once where there is no terminal.
-func (c *zonesCmd) Run() error {
-	if c.Once || !isatty.IsTerminal(os.Stdout.Fd()) {
-		return zoneview.Print(context.Background(), os.Stdout, c.Address)
+// show shows a status until its user ends it, or once where there is no terminal.
+func show[S statusclient.Status](view statusview.View[S], f viewFlags) error {
+	if f.Once || !isatty.IsTerminal(os.Stdout.Fd()) {
+		return view.Print(context.Background(), os.Stdout, f.Address)
 	}
-	return zoneview.Watch(context.Background(), c.Address, max(c.Interval, shortestInterval))
+	return view.Watch(context.Background(), f.Address, max(f.Interval, shortestInterval))
 }
 
+type zonesCmd struct{ viewFlags }
+
+// Run shows the zones.
+func (c *zonesCmd) Run() error { return show(zoneview.View, c.viewFlags) }
+
+type spreadCmd struct{ viewFlags }
+
+// Run shows how load is spread.
+func (c *spreadCmd) Run() error { return show(spreadview.View, c.viewFlags) }
+
 // shortestInterval keeps a view from asking the core all the time.
 const shortestInterval = 200 * time.Millisecond
 
@@ -94,7 +108,7 @@
 
 // Run shows the links once.
 func (c *cellsShowCmd) Run() error {
-	return cellview.Print(context.Background(), os.Stdout, c.Address)
+	return cellview.View.Print(context.Background(), os.Stdout, c.Address)
 }
 
 type cellsGoneCmd struct {
@@ -141,6 +155,7 @@
 		CheckSettings checkCmd   `cmd:"" help:"Check both settings files and print what was understood."`
 		Zones         zonesCmd   `cmd:"" help:"Show the state of the zones (zone recovery must be on)."`
 		Cells         cellsCmd   `cmd:"" help:"Links to other cells (spilling over must be on)."`
+		Spread        spreadCmd  `cmd:"" help:"Show machines by load, hot ones and moves under way (load spreading must be on)."`
 		Version       versionCmd `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("pumicefront"), kong.Description("A scheduler for a cluster of rented machines."))
--- a/config/load_spreading.go
+++ b/config/load_spreading.go
@@ -11,7 +11,7 @@
 type LoadSpreading struct {
 	balance.Settings
 	StatusListen string // address of the status endpoint; empty: none
-	Trace        string // file that spans are written to, or TraceStderr; empty: none
+	Trace        string // file that spans are appended to, or "stderr"; empty: none
 }
 
 // loadSpreadingBlock is the block as it stands in the operators' file; what it leaves out has its
--- a/config/zone_recovery.go
+++ b/config/zone_recovery.go
@@ -12,12 +12,9 @@
 type ZoneRecovery struct {
 	zones.Settings
 	StatusListen string // address of the status endpoint; empty: none
-	Trace        string // file that spans are written to, or TraceStderr; empty: none
+	Trace        string // file that spans are appended to, or "stderr"; empty: none
 }
 
-// TraceStderr as the file for spans stands for standard error.
-const TraceStderr = "stderr"
-
 // zoneRecoveryBlock is the block as it stands in the operators' file; what it leaves out has its
 // default.
 type zoneRecoveryBlock struct {
--- a/internal/sim/live_test.go
+++ b/internal/sim/live_test.go
@@ -75,7 +75,7 @@
 		}
 	}
 	leads := func() (*liveController, zones.Status) {
-		status, err := zoneview.Fetch(ctx, addresses)
+		status, err := zoneview.View.Fetch(ctx, addresses)
 		if err != nil {
 			t.Fatalf("at %v: %v", w.now, err)
 		}
--- /dev/null
+++ b/movetrace/recorder.go
@@ -0,0 +1,91 @@
+// Package movetrace records moves of running tasks as OpenTelemetry spans: one for each move, with an
+// event for each step, in the order in which the leader has seen them.
+package movetrace
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"pumicefront/balance"
+	"pumicefront/controller"
+	"pumicefront/spanexport"
+)
+
+// Names of spans, events and attributes.
+const (
+	spanMove   = "move"
+	eventGiven = "held room is given up"
+
+	keyJob     = "job"
+	keyTask    = "task"
+	keyFrom    = "from"
+	keyTo      = "to"
+	keyTerm    = "term"
+	keyGain    = "gain"
+	keyOutcome = "outcome"
+	keyReason  = "reason"
+
+	outcomeLeaderOver = "its leader leads no more"
+)
+
+// Recorder turns steps of moves into spans. A nil one records nothing. It is used by one goroutine.
+type Recorder struct {
+	tracer trace.Tracer
+	moves  map[balance.TaskID]move
+}
+
+// move is one that is under way.
+type move struct {
+	span trace.Span
+	term uint64
+}
+
+// New returns a recorder whose spans the exporter writes; without one it is nil.
+func New(e *spanexport.Exporter) *Recorder {
+	if e == nil {
+		return nil
+	}
+	return &Recorder{tracer: e.Tracer("pumicefront/movetrace"), moves: map[balance.TaskID]move{}}
+}
+
+// Record records a step of a move.
+func (r *Recorder) Record(c controller.MoveChanged) {
+	if r == nil {
+		return
+	}
+	m := r.move(c)
+	at := trace.WithTimestamp(c.At)
+	if c.Loss != "" && c.Loss != balance.LossOver {
+		m.span.AddEvent(eventGiven, at, trace.WithAttributes(attribute.String(keyReason, string(c.Loss))))
+	}
+	if c.Outcome == "" {
+		m.span.AddEvent(c.Phase.String(), at)
+		return
+	}
+	m.span.SetAttributes(attribute.String(keyOutcome, string(c.Outcome)))
+	m.span.End(at)
+	delete(r.moves, c.TaskID)
+}
+
+// move returns the move that a step belongs to. What an earlier term of this controller has left open
+// ends with the first step of a later one.
+func (r *Recorder) move(c controller.MoveChanged) move {
+	for id, open := range r.moves {
+		if open.term != c.Term {
+			open.span.SetAttributes(attribute.String(keyOutcome, outcomeLeaderOver))
+			open.span.End(trace.WithTimestamp(c.At))
+			delete(r.moves, id)
+		}
+	}
+	found, known := r.moves[c.TaskID]
+	if !known {
+		_, span := r.tracer.Start(context.Background(), spanMove, trace.WithTimestamp(c.Began), trace.WithAttributes(
+			attribute.String(keyJob, c.Job), attribute.Int(keyTask, c.Index), attribute.String(keyFrom, c.From), attribute.String(keyTo, c.To),
+			attribute.Int64(keyTerm, int64(c.Term)), attribute.Float64(keyGain, c.Gain)))
+		found = move{span, c.Term}
+		r.moves[c.TaskID] = found
+	}
+	return found
+}
--- a/server/operators.go
+++ b/server/operators.go
@@ -1,9 +1,13 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"pumicefront/spanexport"
+	"time"
 
 	"pumicefront/controller"
 )
@@ -41,3 +45,43 @@
 		slog.Debug("answer not written", "err", err)
 	}
 }
+
+// closeTimeout bounds the wait for the last spans to be written.
+const closeTimeout = time.Second
+
+// openTrace opens where spans are written to, as a setting says; without such a place there is none.
+func openTrace(field, target, member string) (*spanexport.Exporter, error) {
+	if target == "" {
+		return nil, nil
+	}
+	spans, err := spanexport.Open(target, member)
+	if err != nil {
+		return nil, fmt.Errorf("field %s: %w", field, err)
+	}
+	return spans, nil
+}
+
+// startOperatorsEndpoint serves a status at an address, if there is one, and returns what ends that and
+// writes the last spans.
+func (s *Server) startOperatorsEndpoint(address, path string, serve http.HandlerFunc, spans *spanexport.Exporter) (stop func(), err error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, serve)
+	status := operatorsServer(mux)
+	if address != "" {
+		ln, err := listen(address)
+		if err != nil {
+			return nil, err
+		}
+		go func() { slog.Info("status endpoint closed", "path", path, "err", status.Serve(ln)) }()
+	}
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if err := status.Close(); err != nil {
+			slog.Error("status endpoint", "path", path, "err", err)
+		}
+		if err := spans.Close(ctx); err != nil {
+			slog.Error("spans not written", "err", err)
+		}
+	}, nil
+}
--- a/server/server.go
+++ b/server/server.go
@@ -26,6 +26,7 @@
 	"pumicefront/config"
 	"pumicefront/controller"
 	"pumicefront/mesh"
+	"pumicefront/movetrace"
 	"pumicefront/wire"
 	"pumicefront/zonetrace"
 )
@@ -53,6 +54,7 @@
 	until  atomic.Pointer[time.Time] // the core's authority, as it was after its last step
 	zones  *zonetrace.Recorder       // nil: recoveries of zones are not traced
 	cells  *celllink.Client          // nil: this cell is alone
+	moves  *movetrace.Recorder       // nil: moves are not traced
 }
 
 // How the sockets are shared: most for users and workers, some for calls of
@@ -138,6 +140,11 @@
 		return err
 	}
 	defer closeCells()
+	closeSpreading, err := s.startSpreading()
+	if err != nil {
+		return err
+	}
+	defer closeSpreading()
 	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10, ConnState: s.trackConnection}
 	failed := make(chan error, 1)
 	// Beyond the limit connections wait unaccepted, and the load balancer tries
@@ -222,6 +229,8 @@
 		s.mesh.Send(o.To, o.Envelope)
 	case controller.ZoneChanged, controller.TaskDisplaced, controller.TaskRestarted, controller.ZoneRecovered, controller.RecoveriesHandedOver:
 		s.zones.Record(o)
+	case controller.MoveChanged:
+		s.moves.Record(o)
 	case controller.Event:
 		slog.Log(context.Background(), o.Level, o.Text, o.Attrs...)
 	}
--- /dev/null
+++ b/spreadview/render.go
@@ -0,0 +1,90 @@
+// Package spreadview shows operators how load is spread: machines by load, the hot ones and why their
+// tasks stay, and the moves under way.
+package spreadview
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"pumicefront/balance"
+	"pumicefront/statusview"
+)
+
+// View shows the spread of load.
+var View = statusview.View[balance.Status]{Path: balance.StatusPath, Render: Render}
+
+// machinesShown bounds the machines that are shown beside the hot ones.
+const machinesShown = 20
+
+// Render writes a status as lines of text.
+func Render(s balance.Status) string {
+	var out strings.Builder
+	if !s.Leading {
+		fmt.Fprintf(&out, "%s does not lead; its leader is %q\n", s.Member, s.Leader)
+		return out.String()
+	}
+	d := s.Distribution
+	fmt.Fprintf(&out, "leader %s, %d machines: mean share %.2f, variation %.2f, maximum %.2f times the mean; hot above %.2f\n",
+		s.Member, d.Machines, d.Mean, d.Variation, d.Maximum, s.HotShare)
+	if s.Block != balance.NotBlocked {
+		fmt.Fprintf(&out, "no moves are begun: %s\n", s.Block)
+	}
+	fmt.Fprintf(&out, "moves: %d begun%s; held room given up:%s\n\n", s.Counts.Begun, counts(s.Counts.Outcomes), counts(s.Counts.Losses))
+	table := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
+	writeMachines(table, s)
+	writeMoves(table, s.Moves)
+	if err := table.Flush(); err != nil {
+		return err.Error()
+	}
+	return out.String()
+}
+
+func writeMachines(table *tabwriter.Writer, s balance.Status) {
+	fmt.Fprintln(table, "MACHINE\tZONE\tSHARE\tHOT\tTASKS\tMOVABLE\tSTAYING")
+	left := s.Others
+	for i, m := range s.Machines {
+		if !m.Hot && i >= machinesShown {
+			left++
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%.2f\t%s\t%d\t%s\t%s\n", m.ID, m.Zone, m.Share, yes(m.Hot), m.Tasks, movable(m), staying(m))
+	}
+	if left > 0 {
+		fmt.Fprintf(table, "and %d more\n", left)
+	}
+}
+
+func writeMoves(table *tabwriter.Writer, moves []balance.MoveStatus) {
+	fmt.Fprintln(table, "\nMOVE\tFROM\tTO\tPHASE\tROOM HELD\tFOR")
+	for _, m := range moves {
+		fmt.Fprintf(table, "%s/%d\t%s\t%s\t%s\t%s\t%.0f s\n", m.Job, m.Task, m.From, m.To, m.Phase, yes(m.Held), m.ForS)
+	}
+}
+
+func yes(is bool) string {
+	if is {
+		return "yes"
+	}
+	return "-"
+}
+
+// movable tells how many tasks of a hot machine tolerate a move.
+func movable(m balance.MachineStatus) string {
+	if !m.Hot {
+		return "-"
+	}
+	return fmt.Sprint(m.Movable)
+}
+
+// staying tells why the others stay.
+func staying(m balance.MachineStatus) string {
+	var parts []string
+	for _, c := range m.Staying {
+		parts = append(parts, fmt.Sprintf("%d %s", c.Tasks, c.Reason))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, "; ")
+}
--- a/zonetrace/recorder.go
+++ b/zonetrace/recorder.go
@@ -5,17 +5,13 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
-	"go.opentelemetry.io/otel/sdk/resource"
-	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 
 	"pumicefront/controller"
+	"pumicefront/spanexport"
 	"pumicefront/zones"
 )
 
@@ -26,21 +22,15 @@
 	spanRestart  = "restart "
 
 	keyZone       = "zone"
-	keyMember     = "member"
 	keyResumed    = "resumed"     // begun under an earlier leader
 	keyHandedOver = "handed_over" // goes on under another leader
 	keyDisplaced  = "tasks_displaced"
 	keyRestarted  = "tasks_restarted"
 )
 
-// exportInterval is how long an ended span may wait to be written: a process may be killed at any
-// time, and what it has not written is lost.
-const exportInterval = time.Second
-
 // Recorder turns outputs of the core into spans. A nil one records nothing. It is used by one
-// goroutine; the exporter has its own, with a bounded queue.
+// goroutine.
 type Recorder struct {
-	provider   *sdktrace.TracerProvider
 	tracer     trace.Tracer
 	recoveries map[string]*recovery
 }
@@ -60,29 +50,12 @@
 	last                 time.Time
 }
 
-// New returns a recorder that writes spans to w.
-func New(w io.Writer, member string) (*Recorder, error) {
-	exporter, err := stdouttrace.New(stdouttrace.WithWriter(w))
-	if err != nil {
-		return nil, fmt.Errorf("trace zones: %w", err)
-	}
-	return newRecorder(sdktrace.WithBatcher(exporter, sdktrace.WithBatchTimeout(exportInterval)), member), nil
-}
-
-func newRecorder(exporter sdktrace.TracerProviderOption, member string) *Recorder {
-	provider := sdktrace.NewTracerProvider(exporter, sdktrace.WithResource(resource.NewSchemaless(attribute.String(keyMember, member))))
-	return &Recorder{provider: provider, tracer: provider.Tracer("pumicefront/zonetrace"), recoveries: map[string]*recovery{}}
-}
-
-// Close exports what is left.
-func (r *Recorder) Close(ctx context.Context) error {
-	if r == nil {
+// New returns a recorder whose spans the exporter writes; without one it is nil.
+func New(e *spanexport.Exporter) *Recorder {
+	if e == nil {
 		return nil
 	}
-	if err := r.provider.Shutdown(ctx); err != nil {
-		return fmt.Errorf("trace zones: %w", err)
-	}
-	return nil
+	return &Recorder{tracer: e.Tracer("pumicefront/zonetrace"), recoveries: map[string]*recovery{}}
 }
 
 // Record takes an output of the core; those that are not about zones are ignored.
--- a/zonetrace/recorder_test.go
+++ b/zonetrace/recorder_test.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"pumicefront/controller"
+	"pumicefront/spanexport"
 	"pumicefront/zones"
 )
 
@@ -32,7 +33,7 @@
 
 func TestSpansOfARecovery(t *testing.T) {
 	spans := tracetest.NewInMemoryExporter()
-	r := newRecorder(sdktrace.WithSyncer(spans), "n0")
+	r := New(spanexport.With(sdktrace.WithSyncer(spans), "n0"))
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	for _, o := range recovered(start) {
 		r.Record(o)
@@ -62,14 +63,15 @@
 
 func TestSpansAreWritten(t *testing.T) {
 	var out bytes.Buffer
-	r, err := New(&out, "n0")
+	exporter, err := spanexport.New(&out, "n0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	r := New(exporter)
 	for _, o := range recovered(time.Now()) {
 		r.Record(o)
 	}
-	if err := r.Close(context.Background()); err != nil {
+	if err := exporter.Close(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	for _, part := range []string{spanRecovery, `"tasks_displaced"`, `"handed_over"`, `"n0"`} {
@@ -77,9 +79,9 @@
 			t.Errorf("%s is not written", part)
 		}
 	}
-	var none *Recorder
+	none := New(nil)
 	none.Record(controller.ZoneRecovered{})
-	if none.Close(context.Background()) != nil {
-		t.Error("no recorder can't be closed")
+	if none != nil {
+		t.Error("there is a recorder without an exporter")
 	}
 }
--- a/zoneview/view_test.go
+++ b/zoneview/view_test.go
@@ -52,7 +52,7 @@
 	broken := endpoint(t, func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) })
 	odd := endpoint(t, func(w http.ResponseWriter) { _, _ = io.WriteString(w, "<html>") })
 	var out bytes.Buffer
-	if err := Print(context.Background(), &out, []string{broken, odd, follower, telling(t, leading)}); err != nil {
+	if err := View.Print(context.Background(), &out, []string{broken, odd, follower, telling(t, leading)}); err != nil {
 		t.Fatal(err)
 	}
 	for _, line := range []string{"east  held down  3 s", "4 s       3 of 8", "west  healthy", "batch  9        1           5     3"} {
@@ -60,38 +60,12 @@
 			t.Errorf("no %q in\n%s", line, out.String())
 		}
 	}
-	err := Print(context.Background(), &out, []string{follower, broken, odd})
+	err := View.Print(context.Background(), &out, []string{follower, broken, odd})
 	if !errors.Is(err, statusclient.ErrNoLeader) || !strings.Contains(err.Error(), `"n1"`) || !strings.Contains(err.Error(), "503") {
 		t.Errorf("without a leader: %v", err)
 	}
 }
 
-// Every wait ends: one who listens and says nothing is given up.
-func TestFetchGivesUp(t *testing.T) {
-	gone := make(chan struct{})
-	defer close(gone)
-	silent := endpoint(t, func(http.ResponseWriter) { <-gone })
-	began := time.Now()
-	if _, err := Fetch(context.Background(), []string{silent}); err == nil || time.Since(began) > 2*statusclient.AskTimeout {
-		t.Errorf("%v after %v", err, time.Since(began))
-	}
-}
-
-func TestViewKeepsTheLastAnswer(t *testing.T) {
-	var m tea.Model = model{ctx: context.Background(), interval: time.Second}
-	if !strings.Contains(m.View(), "asking") {
-		t.Errorf("at first: %s", m.View())
-	}
-	m, _ = m.Update(fetched{status: leading})
-	m, next := m.Update(fetched{err: statusclient.ErrNoLeader})
-	if view := m.View(); !strings.Contains(view, "east") || !strings.Contains(view, statusclient.ErrNoLeader.Error()) || next == nil {
-		t.Errorf("after a failure: %s", view)
-	}
-	if _, end := m.Update(tea.KeyMsg{Type: tea.KeyRunes, Runes: []rune("q")}); end == nil || end() != tea.Quit() {
-		t.Error("q does not end it")
-	}
-}
-
 func TestWatchShowsAndEnds(t *testing.T) {
 	keys, press := io.Pipe()
 	var out bytes.Buffer
@@ -100,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	go func() {
-		done <- Watch(ctx, []string{address}, 50*time.Millisecond, tea.WithInput(keys), tea.WithOutput(&out), tea.WithoutSignalHandler())
+		done <- View.Watch(ctx, []string{address}, 50*time.Millisecond, tea.WithInput(keys), tea.WithOutput(&out), tea.WithoutSignalHandler())
 	}()
 	time.Sleep(500 * time.Millisecond)
 	if _, err := press.Write([]byte("q")); err != nil {
