--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -384,7 +384,7 @@
 func (h *host) stop(t *task, grace float64) {
 	if t.job == nil || t.job.saved == nil || t.state != wire.TaskRunning || grace < t.job.spec.SaveS {
 		if t.state != wire.TaskSaving || grace == 0 {
-			h.exit(t, wire.WhyStopped)
+			h.stopped(t)
 		}
 		return
 	}
@@ -393,13 +393,18 @@
 	h.later(t, time.Duration(t.job.spec.SaveS*float64(time.Second)), func() {
 		_, n, _ := wire.SplitTask(t.id)
 		t.job.saved[n] += h.w.now - t.started
-		h.exit(t, wire.WhyStopped)
-		if h.w.onSaved != nil {
-			h.w.onSaved(t)
-		}
+		h.stopped(t)
 	})
 }
 
+// stopped ends a task that was told to stop.
+func (h *host) stopped(t *task) {
+	h.exit(t, wire.WhyStopped)
+	if h.w.onStopped != nil {
+		h.w.onStopped(t)
+	}
+}
+
 func (h *host) exit(t *task, why string) {
 	if t.onMachine() {
 		h.noteEnd(t)
--- a/internal/sim/live_test.go
+++ b/internal/sim/live_test.go
@@ -154,8 +154,8 @@
 	next()
 }
 
-// checkLive checks the rules, the history, and that the faults have come about.
-func checkLive(t *testing.T, w *World, status zones.Status, zone string) {
+// checkLiveHistory checks the rules and the history, and counts what it has.
+func checkLiveHistory(t *testing.T, w *World) map[history.Kind]int {
 	t.Helper()
 	if len(w.Rules) == 0 {
 		w.checkEnds()
@@ -170,6 +170,13 @@
 	for _, e := range w.history {
 		counts[e.Kind]++
 	}
+	return counts
+}
+
+// checkLive checks the rules, the history, and that the faults have come about.
+func checkLive(t *testing.T, w *World, status zones.Status, zone string) {
+	t.Helper()
+	counts := checkLiveHistory(t, w)
 	if counts[history.Started] < 150 || counts[history.Answered] < 100 || w.coverage["a zone with a controller cut off"] == 0 {
 		t.Errorf("too little has happened: %v, %v", counts, w.coverage)
 	}
--- a/internal/sim/spreading_test.go
+++ b/internal/sim/spreading_test.go
@@ -203,9 +203,9 @@
 		}},
 		{"the leader ends after the stop", balance.Stopping, "", func(r *spreadRun, n *node, _ controller.MoveChanged) bool { return r.crashAfter(n, soonAfter) }},
 		{"the leader ends after the save", balance.Stopping, wire.KindArray, func(r *spreadRun, n *node, m controller.MoveChanged) bool {
-			r.w.onSaved = func(t *task) {
-				if t.id == wire.TaskID(m.Job, m.Index) {
-					r.w.onSaved = nil
+			r.w.onStopped = func(t *task) {
+				if t.id == wire.TaskID(m.Job, m.Index) && t.job.saved[m.Index] > 0 {
+					r.w.onStopped = nil
 					n.crash(3 * time.Second)
 				}
 			}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -46,7 +46,7 @@
 	onStart       func(h *host, t *task) // called when a task starts
 	onMove        func(n *node, m controller.MoveChanged)
 	moves         []controller.MoveChanged // every step of every move
-	onSaved       func(t *task)            // called when a stopped task has saved and ended
+	onStopped     func(t *task)            // called when a task has ended because it was told to stop
 	onFetch       func()                   // called when a start has to fetch its image
 	alwaysUp      bool                     // machines all come up, and none is faulty
 	processor     time.Duration            // that the controllers' cores took
