--- a/internal/sim/measure_test.go
+++ b/internal/sim/measure_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
+
+	"pumicefront/internal/spreadseries"
 )
 
 // TestMeasureZoneRecovery prints the table of docs/zone-recovery.md; it is run by hand:
@@ -26,14 +29,42 @@
 	})
 }
 
-// TestMeasureSpread prints the figures of docs/load-spreading.md; it is run by hand:
+// TestMeasureSpread prints the figures of docs/load-spreading.md, and with PUMICEFRONT_SPREAD_SERIES
+// writes the shares of all machines over time to spread.parquet and spread.png there; it is run by hand:
 // PUMICEFRONT_SPREAD_MEASURE=20,400,4000 go test -v -timeout 30m ./internal/sim -run TestMeasureSpread
 func TestMeasureSpread(t *testing.T) {
+	var rows []spreadseries.Row
 	measure(t, "PUMICEFRONT_SPREAD_MEASURE", "PUMICEFRONT_SPREAD_SEEDS", []string{"off", "on"}, func(machines int, seed uint64, mode string) (fmt.Stringer, []string) {
 		r := newSpreadRun(defaultSpread(machines, seed, mode == "on"))
 		r.play()
+		rows = append(rows, r.series(fmt.Sprintf("%d machines, seed %d, %s", machines, seed, mode))...)
 		return r, r.w.Rules
 	})
+	if dir := os.Getenv("PUMICEFRONT_SPREAD_SERIES"); dir != "" {
+		writeSeries(t, dir, rows)
+	}
+}
+
+// writeSeries writes a series, and the table and the plot of what is read back from it.
+func writeSeries(t *testing.T, dir string, rows []spreadseries.Row) {
+	t.Helper()
+	path := filepath.Join(dir, "spread.parquet")
+	if err := spreadseries.Write(path, rows); err != nil {
+		t.Fatal(err)
+	}
+	read, err := spreadseries.Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	courses := spreadseries.Courses(read)
+	var table strings.Builder
+	if err := spreadseries.WriteTable(&table, courses, spreadSwitchAt.Seconds(), spreadSwitchAt.Seconds()+180, spreadBackAt.Seconds(), spreadBackAt.Seconds()+180); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d rows\n%s", len(read), table.String())
+	if err := spreadseries.Plot(filepath.Join(dir, "spread.png"), "Load spreading: switched on at 110 s, drain at 420 s", courses); err != nil {
+		t.Error(err)
+	}
 }
 
 // measure plays the sizes that a variable lists, with as many seeds as another one says, in each mode.
--- a/internal/sim/spread_measure.go
+++ b/internal/sim/spread_measure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pumicefront/balance"
+	"pumicefront/internal/spreadseries"
 	"pumicefront/wire"
 )
 
@@ -34,6 +35,7 @@
 // spreadSampled is what a look at all machines finds of their dominant shares.
 type spreadSampled struct {
 	at               time.Duration
+	machines         []string
 	shares           []float64 // in the order of the machines
 	variation        float64   // their coefficient of variation
 	maximum          float64   // the largest over the mean
@@ -67,7 +69,6 @@
 	missing  time.Duration
 	replicas int
 	starts   map[string][]time.Duration // of each replica, from the switch on
-	names    []string                   // of the machines, in the order of shares
 }
 
 // newSpreadRun prepares a fleet of so many like machines that are all kept, with its load: one team
@@ -212,12 +213,11 @@
 // sample looks at all machines.
 func (r *spreadRun) sample() {
 	s := spreadSampled{at: r.w.now}
-	r.names = r.names[:0]
 	team, up := 0.0, 0
 	teamMost := 0.0
 	for _, h := range r.w.hostsUp() {
 		s.shares = append(s.shares, h.usedCores()/spreadMachineCores)
-		r.names = append(r.names, h.id)
+		s.machines = append(s.machines, h.id)
 		here := 0.0
 		for _, t := range h.tasks {
 			if t.state == wire.TaskExited || t.job == nil {
@@ -334,3 +334,14 @@
 	}
 	return count
 }
+
+// series lists the shares of all machines over time.
+func (r *spreadRun) series(name string) []spreadseries.Row {
+	var rows []spreadseries.Row
+	for _, s := range r.samples {
+		for i, share := range s.shares {
+			rows = append(rows, spreadseries.Row{Run: name, Spread: r.on, AtS: s.at.Seconds(), Machine: s.machines[i], Share: share})
+		}
+	}
+	return rows
+}
