--- a/controller/spreading.go
+++ b/controller/spreading.go
@@ -18,12 +18,12 @@
 // spreading is the leader's side of load spreading; nil where operators have not switched it on.
 type spreading struct {
 	*leader
-	ledger    *balance.Ledger
-	record    movesRecordCopy
-	plannedAt time.Time
-	sweptAt   time.Time
-	pausedTil time.Time // no plan before: the last one would have cost headroom
-	block     balance.Block
+	ledger      *balance.Ledger
+	record      movesRecordCopy
+	plannedAt   time.Time
+	sweptAt     time.Time
+	pausedUntil time.Time // no plan before: the last one would have cost headroom
+	block       balance.Block
 }
 
 // MoveChanged tells of a step of a move.
--- a/controller/spreading_plan.go
+++ b/controller/spreading_plan.go
@@ -63,7 +63,7 @@
 		return balance.NetworkFault
 	case s.zones.recovering():
 		return balance.Recovering
-	case s.c.now.Before(s.pausedTil):
+	case s.c.now.Before(s.pausedUntil):
 		return balance.HeadroomShort
 	case s.workWaits():
 		return balance.WorkWaits
@@ -200,7 +200,7 @@
 			return some
 		}
 	}
-	s.pausedTil = s.c.now.Add(planPause)
+	s.pausedUntil = s.c.now.Add(planPause)
 	return nil
 }
 
--- a/controller/spreading_test.go
+++ b/controller/spreading_test.go
@@ -96,7 +96,7 @@
 		"a zone recovery":          {recoverZone, balance.Recovering},
 		"work that waits":          {waiting, balance.WorkWaits},
 		"few writes left":          {func(l *leader) { l.budget.background.AllowN(l.c.now, l.budget.burst()*2/3) }, balance.WritesShort},
-		"headroom that was short":  {func(l *leader) { l.spreading.pausedTil = l.c.now.Add(time.Second) }, balance.HeadroomShort},
+		"headroom that was short":  {func(l *leader) { l.spreading.pausedUntil = l.c.now.Add(time.Second) }, balance.HeadroomShort},
 		"work at its team's limit": {func(l *leader) { waiting(l); l.c.quotas["red"] = quotaOf(config.Team{CPUsMax: 8}) }, balance.NotBlocked},
 	} {
 		_, l, _ := skewed(t)
--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 )
 
@@ -64,19 +65,17 @@
 }
 
 // hasImage reports whether a machine has the demand's image or fetches it already.
-func (d *Demand) hasImage(m *Machine) bool {
-	return m.Images[d.Image] || m.Fetching[d.Image] || d.fetching[m.ID]
-}
+func (d *Demand) hasImage(m *Machine) bool { return m.Images[d.Image] || m.Fetching[d.Image] }
 
-// noteFetch notes that a machine fetches the demand's image from now on.
+// noteFetch notes that a machine fetches the demand's image from now on: for what comes after it counts
+// as there, or the image would go to one more machine with each task.
 func (d *Demand) noteFetch(m *Machine) {
 	if d.Balance == nil || d.hasImage(m) {
 		return
 	}
-	if d.fetching == nil {
-		d.fetching = map[string]bool{}
-	}
-	d.fetching[m.ID] = true
+	fetching := map[string]bool{d.Image: true} // a new one: the old one is the leader's
+	maps.Copy(fetching, m.Fetching)
+	m.Fetching = fetching
 }
 
 // Fits reports whether a machine has room for one more task, and all that the demand asks of it.
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -35,8 +35,6 @@
 	OnlyZone         string                 // the only one that has machines for it, as far as that was asked
 	Limits           map[string]*StartLimit // by zone; none: anything may start there
 	Balance          *Balance               // nil: the fullest machine first
-
-	fetching map[string]bool // machines that fetch the image since a task was placed there
 }
 
 // Allows reports whether the demand's fixed constraints accept a machine.
