--- a/balance/plan.go
+++ b/balance/plan.go
@@ -15,12 +15,11 @@
 
 // Machine is a machine that counts, as a plan sees it.
 type Machine struct {
-	ID     string
-	Size   float64 // weight among machines, as scheduler.Measure has it
-	Cap    scheduler.Resources
-	Used   scheduler.Resources // by all that stays, what is on its way here included
-	Tasks  []Task              // that may be moved; needed of hot machines alone
-	Closed bool                // takes nothing
+	ID    string
+	Size  float64 // weight among machines, as scheduler.Measure has it
+	Cap   scheduler.Resources
+	Used  scheduler.Resources // by all that stays, what is on its way here included
+	Tasks []Task              // that may be moved; needed of hot machines alone
 
 	share float64 // its dominant share, while a plan is made
 }
@@ -163,7 +162,7 @@
 		if tried == destinationsTried || to.share >= from.share {
 			break
 		}
-		if to.Closed || to == from {
+		if to == from {
 			continue
 		}
 		tried++
--- a/balance/plan_test.go
+++ b/balance/plan_test.go
@@ -171,7 +171,7 @@
 	for name, p := range map[string]Picture{
 		"tasks that fill a machine": {Machines: full(16, ""), Fits: fitsByRoom},
 		"images on hot machines":    {Machines: full(4, "image"), Fits: fitsByRoom, HasImage: onHot},
-		"machines that are closed":  {Machines: full(4, ""), Fits: func(*Task, *Machine) bool { return false }},
+		"no machine that fits":      {Machines: full(4, ""), Fits: func(*Task, *Machine) bool { return false }},
 	} {
 		if moves := Plan(p, DefaultSettings(), unbounded(9)); len(moves) > 0 {
 			t.Errorf("%s: %+v", name, moves)
@@ -193,3 +193,19 @@
 		t.Errorf("%+v", moves)
 	}
 }
+
+// A destination may become hot only if its source stays as hot at least: a large task that would only
+// change places stays.
+func TestLargeTasksDontChangePlaces(t *testing.T) {
+	capacity := scheduler.Resources{CPUs: 16}
+	large := Task{TaskID: TaskID{"job", 0}, Each: scheduler.Resources{CPUs: 8}}
+	from := Machine{ID: "a", Size: 16, Cap: capacity, Used: capacity, Tasks: []Task{large}}
+	to := Machine{ID: "b", Size: 16, Cap: capacity, Used: scheduler.Resources{CPUs: 6}}
+	if moves := Plan(Picture{Machines: []Machine{from, to}, Fits: fitsByRoom}, DefaultSettings(), unbounded(9)); len(moves) > 0 {
+		t.Errorf("%+v", moves)
+	}
+	to.Used.CPUs = 2
+	if moves := Plan(Picture{Machines: []Machine{from, to}, Fits: fitsByRoom}, DefaultSettings(), unbounded(9)); len(moves) != 1 {
+		t.Errorf("%+v where the destination stays cool", moves)
+	}
+}
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -58,7 +58,7 @@
 // none, what is free beside them is room for the next, and moving them only costs it,
 // unless a machine boots in time for the next.
 func (l *leader) movable(m *machine) bool {
-	if !l.usable(m) || len(m.list) == 0 || len(m.unknownAttempts) > 0 || l.spreading.heldOn(m.id) != (scheduler.Resources{}) || l.c.now.Sub(m.immovableAt) < settledFor {
+	if !l.usable(m) || len(m.list) == 0 || len(m.unknownAttempts) > 0 || l.c.now.Sub(m.immovableAt) < settledFor {
 		return false
 	}
 	used := 0.0
--- a/controller/spreading_test.go
+++ b/controller/spreading_test.go
@@ -8,6 +8,7 @@
 
 	"pumicefront/balance"
 	"pumicefront/config"
+	"pumicefront/reduction"
 	"pumicefront/wire"
 	"pumicefront/zones"
 )
@@ -312,3 +313,194 @@
 	l.spreading.run()
 	l.spreading.prepare(nil, nil)
 }
+
+// A task in held room is still placed only as its team's limit and its job's constraints allow.
+func TestHeldRoomIsNoRight(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(l *leader, e balance.Entry)
+		placed bool
+	}{
+		"as it is":                  {func(*leader, balance.Entry) {}, true},
+		"its team is at its limit":  {func(l *leader, _ balance.Entry) { l.c.quotas["red"] = quotaOf(config.Team{CPUsMax: 6}) }, false},
+		"its job avoids it now":     {func(l *leader, e balance.Entry) { l.jobs[e.Job].avoid[e.To] = true }, false},
+		"the destination is silent": {func(l *leader, e balance.Entry) { l.machines[e.To].reported = l.c.now.Add(-time.Minute) }, false},
+	} {
+		_, l, _ := skewed(t)
+		e := planned(l)[0]
+		l.gone(l.jobs[e.Job].attempts[0], reduction.Reset, proofAbsent)
+		c.change(l, e)
+		l.spreading.run()
+		l.placeAt = l.c.now
+		l.place()
+		a := l.jobs[e.Job].attempts[0]
+		if placed := a != nil && a.machine.id == e.To; placed != c.placed {
+			t.Errorf("%s: placed in its room %v", name, placed)
+		}
+		if entry, moving := l.spreading.ledger.Entry(e.TaskID); moving && entry.Held {
+			t.Errorf("%s: room is held still", name)
+		}
+	}
+}
+
+// What is urgent takes as much held room as it needs, and no more; other work takes none.
+func TestUrgentWorkTakesHeldRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec wire.Job
+		left int // rooms that are held still
+	}{
+		"a service of two tasks": {wire.Job{ID: "req-000009", Kind: wire.KindService, Priority: "standard", Tasks: 2}, 1},
+		"an array":               {wire.Job{ID: "req-000009", Kind: wire.KindArray, Priority: "standard", Tasks: 2}, 3},
+	} {
+		_, l := spreadingLeader(t, 4)
+		for i := range 3 { // three machines are full but for one task each, whose room is held
+			m := fmt.Sprintf("m000%d", i+1)
+			runs(l, wire.Job{ID: fmt.Sprintf("req-00010%d", i), Kind: wire.KindService}, m, m, m)
+			j := runs(l, wire.Job{ID: fmt.Sprintf("req-00000%d", i), Kind: wire.KindService}, "m0000")
+			l.spreading.ledger.Begin(l.c.now, balance.Move{Task: j.attempts[0].movableTask(1), From: "m0000", To: m}, j.attempts[0].number)
+		}
+		runs(l, wire.Job{ID: "req-000200", Kind: wire.KindService}, "m0000")
+		j := runs(l, c.spec)
+		j.terms.Borrowed = true
+		l.guaranteesAt = l.c.now
+		l.placeAt = l.c.now
+		l.place()
+		left := 0
+		for _, e := range l.spreading.ledger.Entries() {
+			if e.Held {
+				left++
+			}
+		}
+		if left != c.left || len(j.attempts) != 3-c.left {
+			t.Errorf("%s: %d rooms are held still, %d tasks are placed", name, left, len(j.attempts))
+		}
+	}
+}
+
+// What a destination must be: with room beside the other moves of a plan, of the same kind as the source,
+// and none that the job avoids or its constraints rule out, the attempt itself not counted.
+func TestDestinations(t *testing.T) {
+	service := wire.Job{ID: "req-000000", Kind: wire.KindService}
+	with := func(change func(*wire.Job)) wire.Job {
+		spec := service
+		change(&spec)
+		return spec
+	}
+	for name, c := range map[string]struct {
+		spec   wire.Job
+		change func(l *leader, j *job, to *balance.Machine)
+		fits   bool
+	}{
+		"as it is":                         {spec: service, fits: true},
+		"other moves fill it":              {spec: service, change: func(_ *leader, _ *job, to *balance.Machine) { to.Used.CPUs += 7 }},
+		"a spot machine":                   {spec: with(func(s *wire.Job) { s.Spot = true }), change: onSpot},
+		"one that the job avoids":          {spec: service, change: func(l *leader, j *job, _ *balance.Machine) { j.avoid["m0003"] = true }},
+		"one without the image":            {spec: service, change: func(l *leader, _ *job, _ *balance.Machine) { delete(l.machines["m0003"].images, "image") }},
+		"an array needs no image":          {spec: with(func(s *wire.Job) { s.Kind = wire.KindArray }), change: func(l *leader, _ *job, _ *balance.Machine) { delete(l.machines["m0003"].images, "image") }, fits: true},
+		"scattered, the last of its zone":  {spec: with(func(s *wire.Job) { s.Spread, s.Tasks = true, 2 }), fits: true},
+		"scattered, another one there too": {spec: with(func(s *wire.Job) { s.Spread, s.Tasks = true, 2 }), change: func(l *leader, j *job, _ *balance.Machine) { place(l, j, 1, l.machines["m0001"]) }},
+		"one zone, and it is another":      {spec: with(func(s *wire.Job) { s.OneZone, s.Tasks = true, 2 }), change: otherZone},
+		"bound to a zone":                  {spec: with(func(s *wire.Job) { s.Zone = "b" })},
+		"another type":                     {spec: with(func(s *wire.Job) { s.Types = []string{"big"} })},
+	} {
+		_, l := spreadingLeader(t, 4)
+		j := runs(l, c.spec, "m0000")
+		l.machines["m0003"].snapshot = nil
+		var to *balance.Machine
+		prepare := func() balance.Picture {
+			picture := l.spreading.picture(l.view(false))
+			to = &picture.Machines[3]
+			return picture
+		}
+		picture := prepare()
+		if c.change != nil {
+			c.change(l, j, to)
+			if name != "other moves fill it" {
+				l.machines["m0003"].snapshot = nil
+				picture = prepare()
+			}
+		}
+		task := j.attempts[0].movableTask(1)
+		if fits := picture.Fits(&task, to) && (task.OnlyImage == "" || picture.HasImage(to, task.OnlyImage)); fits != c.fits {
+			t.Errorf("%s: fits %v", name, fits)
+		}
+	}
+}
+
+func onSpot(l *leader, _ *job, _ *balance.Machine) { l.machines["m0003"].spot = true }
+
+func otherZone(l *leader, j *job, _ *balance.Machine) {
+	place(l, j, 1, l.machines["m0001"])
+	l.machines["m0003"].zone = "b"
+}
+
+// What is being stopped is on its way off its machine: it makes that machine hot no more.
+func TestStoppedTasksAreOnTheirWayOff(t *testing.T) {
+	_, l, jobs := skewed(t)
+	for _, j := range jobs[:2] {
+		l.stop(j.attempts[0], 0)
+	}
+	for _, m := range l.spreading.picture(l.view(false)).Machines {
+		if want := map[string]float64{"m0000": 0.5}[m.ID]; m.Share() != want {
+			t.Errorf("%s has a share of %v, want %v", m.ID, m.Share(), want)
+		}
+	}
+}
+
+// Where idle machines are kept, none is returned for being idle, none is emptied; and nothing is rented
+// for a task that has room held.
+func TestKeptFleet(t *testing.T) {
+	for _, keep := range []bool{true, false} {
+		c, l, _ := skewed(t)
+		c.op.Spreading.KeepIdle = keep
+		pass(l, 30*time.Minute)
+		l.returnSpare()
+		released := 0
+		for _, m := range l.fleetOrder {
+			if m.releasing {
+				released++
+			}
+		}
+		if (released == 0) != keep {
+			t.Errorf("idle machines are kept %v: %d are returned", keep, released)
+		}
+		l.consolidatedAt = time.Time{}
+		l.consolidate()
+		if looked := !l.consolidatedAt.IsZero(); looked == keep {
+			t.Errorf("idle machines are kept %v: consolidation looks at machines %v", keep, looked)
+		}
+	}
+	c, l, _ := skewed(t)
+	e := planned(l)[0]
+	c.op.Spreading.KeepIdle, l.consolidatedAt = false, time.Time{}
+	if l.consolidate(); !l.consolidatedAt.IsZero() {
+		t.Error("machines are emptied while a move is under way")
+	}
+	l.gone(l.jobs[e.Job].attempts[0], reduction.Reset, proofAbsent)
+	for _, d := range l.backlog() {
+		if d.Job == e.Job && len(d.Tasks) > 0 {
+			t.Errorf("room is wanted for %v of %s", d.Tasks, d.Job)
+		}
+	}
+}
+
+// Where nothing can be moved, nothing is written, and machines that are suspected to be faulty neither
+// give nor take.
+func TestNothingToMove(t *testing.T) {
+	c, l, jobs := skewed(t)
+	l.spreading.record.until = time.Time{}
+	for _, j := range jobs {
+		j.avoid["m0001"], j.avoid["m0002"], j.avoid["m0003"] = true, true, true
+	}
+	l.spreading.run()
+	for _, o := range c.out {
+		if call, ok := o.(StateCall); ok && call.Op == OpTxn {
+			t.Errorf("written: %+v", call.Txn)
+		}
+	}
+	l.machines["m0001"].faults["req-1"], l.machines["m0001"].faults["req-2"], l.machines["m0001"].snapshot = true, true, nil
+	for _, m := range l.spreading.picture(l.view(false)).Machines {
+		if m.ID == "m0001" {
+			t.Error("a faulty machine counts")
+		}
+	}
+}
--- a/scheduler/balance_test.go
+++ b/scheduler/balance_test.go
@@ -98,3 +98,16 @@
 		}
 	}
 }
+
+// A job goes to the part of the machines where its image is only as far as those are cool.
+func TestPartsCountCoolRoom(t *testing.T) {
+	machines := halfFull(5, 2)
+	machines[0].Part, machines[1].Part = "a", "b"
+	machines[0].Images["i"] = true
+	if got := places(machines, balanced(1, 0.6, false)); got != "m1 " {
+		t.Errorf("beside a hot machine with the image: %s", got)
+	}
+	if got := places(halfFull(5, 2)[:1], balanced(1, 0.6, false)); got != "m0 " {
+		t.Errorf("where there is no other: %s", got)
+	}
+}
