--- a/balance/plan.go
+++ b/balance/plan.go
@@ -78,7 +78,20 @@
 	if allowed.Moves <= 0 {
 		return nil
 	}
-	plan := planner{Picture: p, settings: s, allowed: allowed, hot: s.HotShare(Distribute(p.Machines).Mean),
+	plan := newPlanner(p, s, allowed)
+	for allowed.Moves > 0 {
+		from, best := plan.best()
+		if from == nil {
+			break
+		}
+		plan.carryOut(from, best)
+	}
+	return plan.moves
+}
+
+// newPlanner returns a planner that has made no moves.
+func newPlanner(p Picture, s Settings, allowed *Allowance) *planner {
+	plan := &planner{Picture: p, settings: s, allowed: allowed, hot: s.HotShare(Distribute(p.Machines).Mean),
 		byImage: map[string][]*Machine{}, stuck: map[string]bool{}}
 	for i := range p.Machines {
 		m := &p.Machines[i]
@@ -86,14 +99,23 @@
 		plan.byShare = append(plan.byShare, m)
 	}
 	slices.SortFunc(plan.byShare, compareShares)
-	for allowed.Moves > 0 {
-		from, best := plan.best()
-		if from == nil {
-			break
+	return plan
+}
+
+// WithoutDestination counts, of each machine that is hot, the listed tasks that no other machine takes now
+// for the better. It is the answer to why a task that tolerates a move stays.
+func WithoutDestination(p Picture, s Settings) map[string]int {
+	plan := newPlanner(p, s, nil)
+	count := map[string]int{}
+	for i := range p.Machines {
+		from := &p.Machines[i]
+		for k := range from.Tasks {
+			if from.share > plan.hot && plan.destination(from, &from.Tasks[k]).task == nil {
+				count[from.ID]++
+			}
 		}
-		plan.carryOut(from, best)
 	}
-	return plan.moves
+	return count
 }
 
 // compareShares orders machines by share, the emptiest first.
--- a/balance/plan_test.go
+++ b/balance/plan_test.go
@@ -176,8 +176,15 @@
 		if moves := Plan(p, DefaultSettings(), unbounded(9)); len(moves) > 0 {
 			t.Errorf("%s: %+v", name, moves)
 		}
+		if stay := WithoutDestination(p, DefaultSettings()); stay["0"] != len(p.Machines[0].Tasks) || len(stay) != 2 {
+			t.Errorf("%s: without a destination %v", name, stay)
+		}
+	}
+	mendable := Picture{Machines: full(4, ""), Fits: fitsByRoom}
+	if stay := WithoutDestination(mendable, DefaultSettings()); len(stay) > 0 {
+		t.Errorf("without a destination %v", stay)
 	}
-	if moves := Plan(Picture{Machines: full(4, ""), Fits: fitsByRoom}, DefaultSettings(), unbounded(9)); len(moves) == 0 {
+	if moves := Plan(mendable, DefaultSettings(), unbounded(9)); len(moves) == 0 {
 		t.Error("nothing is moved where it helps")
 	}
 }
--- a/balance/reason.go
+++ b/balance/reason.go
@@ -3,8 +3,8 @@
 // Reason is why a task on a hot machine is not moved.
 type Reason string
 
-// The reasons. Where a task could be moved and is not, no machine takes it now, or the bounds on moves
-// are reached.
+// The reasons. Where a task could be moved and is not, the bounds on moves are reached, or something speaks
+// against all of them.
 const (
 	Movable       Reason = ""
 	NotRunning    Reason = "not seen running yet"
@@ -19,6 +19,7 @@
 	NoEstimate    Reason = "no estimate of its time"
 	TooDear       Reason = "the move costs too much of what is left"
 	WouldBeLate   Reason = "would miss a deadline or an aim"
+	NoDestination Reason = "no machine takes it that would stay cooler"
 )
 
 // Block is why no moves are begun at all.
--- a/balance/status.go
+++ b/balance/status.go
@@ -14,6 +14,8 @@
 	Block        Block           `json:"block,omitempty"` // why no moves are begun at all
 	Machines     []MachineStatus `json:"machines,omitempty"`
 	Others       int             `json:"others"` // machines that are not listed: neither hot nor among the first
+	Teams        []TeamStatus    `json:"teams,omitempty"`
+	Images       []ImageStatus   `json:"images,omitempty"`
 	Moves        []MoveStatus    `json:"moves,omitempty"`
 	Counts       Counts          `json:"counts"`
 }
--- a/controller/spreading_test.go
+++ b/controller/spreading_test.go
@@ -504,3 +504,35 @@
 		}
 	}
 }
+
+// The status tells of each hot machine why its tasks stay, of teams and images what is hot, and what moves.
+func TestSpreadStatus(t *testing.T) {
+	c, l, jobs := skewed(t)
+	runs(l, wire.Job{ID: "req-000009", Kind: wire.KindArray}, "m0001")
+	for _, m := range []string{"m0001", "m0002", "m0003"} {
+		delete(l.machines[m].images, "image")
+	}
+	jobs[0].attempts[0].since = l.c.now
+	ask := func() balance.Status {
+		c.out = nil
+		c.spreadStatus(SpreadStatusRequest{Req: 4})
+		return c.out[0].(Answer).Body.(balance.Status)
+	}
+	s := ask()
+	want := []balance.ReasonCount{{Reason: balance.Settling, Tasks: 1}, {Reason: balance.NoDestination, Tasks: 3}}
+	if m := s.Machines[0]; !s.Leading || m.ID != "m0000" || !m.Hot || m.Movable != 0 || fmt.Sprint(m.Staying) != fmt.Sprint(want) {
+		t.Errorf("%+v", s.Machines)
+	}
+	if len(s.Teams) != 1 || s.Teams[0].OnOne != 0.8 || len(s.Images) != 1 || s.Images[0].Tasks != 5 {
+		t.Errorf("%+v, %+v", s.Teams, s.Images)
+	}
+	l.machines["m0003"].images["image"] = true
+	moves := planned(l)
+	if s = ask(); len(moves) != 1 || len(s.Moves) != 1 || s.Moves[0].To != moves[0].To || s.Counts.Begun != 1 {
+		t.Errorf("%+v, told %+v", moves, s.Moves)
+	}
+	c.lead = nil
+	if s = ask(); s.Leading || len(s.Machines) > 0 {
+		t.Errorf("one that does not lead tells %+v", s)
+	}
+}
--- a/spreadview/render.go
+++ b/spreadview/render.go
@@ -33,6 +33,8 @@
 	fmt.Fprintf(&out, "moves: %d begun%s; held room given up:%s\n\n", s.Counts.Begun, counts(s.Counts.Outcomes), counts(s.Counts.Losses))
 	table := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
 	writeMachines(table, s)
+	writeTeams(table, s.Teams)
+	writeImages(table, s.Images)
 	writeMoves(table, s.Moves)
 	if err := table.Flush(); err != nil {
 		return err.Error()
@@ -55,6 +57,24 @@
 	}
 }
 
+func writeTeams(table *tabwriter.Writer, teams []balance.TeamStatus) {
+	fmt.Fprintln(table, "\nTEAM\tSIZE\tMACHINES\tMOST ON ONE\tON HOT ONES\tHOT")
+	for _, t := range teams {
+		fmt.Fprintf(table, "%s\t%.0f\t%d\t%.0f%%\t%.0f%%\t%s\n", t.Team, t.Size, t.Machines, 100*t.OnOne, 100*t.OnHot, yes(t.Hot))
+	}
+}
+
+// writeImages lists the images that only hot machines have.
+func writeImages(table *tabwriter.Writer, images []balance.ImageStatus) {
+	if len(images) == 0 {
+		return
+	}
+	fmt.Fprintln(table, "\nIMAGE ON HOT MACHINES ALONE\tMACHINES\tTASKS")
+	for _, i := range images {
+		fmt.Fprintf(table, "%s\t%d\t%d\n", i.Image, i.Machines, i.Tasks)
+	}
+}
+
 func writeMoves(table *tabwriter.Writer, moves []balance.MoveStatus) {
 	fmt.Fprintln(table, "\nMOVE\tFROM\tTO\tPHASE\tROOM HELD\tFOR")
 	for _, m := range moves {
