Other cells ask by a queue and within limits of their own

Cause: calls of other cells shared one bounded queue with users: a cell that floods took their places. Change: a queue for other cells and their operators, a limit by cell (10 calls a second, 20 at once; 429 with Retry-After), connections bounded; a cell that is no peer gets 403. Result: of 500 calls at once a cell gets some 20 answers, takes no place of a user, and another cell is answered meanwhile (test).

--- a/server/cells.go
+++ b/server/cells.go
@@ -3,6 +3,9 @@
 import (
 	"log/slog"
 	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
 
 	"pumicefront/celllink"
 	"pumicefront/cells"
@@ -21,6 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ln = netutil.LimitListener(ln, cellConnections*len(s.op.Cell.Peers))
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+cells.MessagesPath, s.serveCellMessages)
 	mux.HandleFunc("GET "+cells.StatusPath, s.serveCellStatus)
@@ -40,8 +44,17 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	switch {
+	case !s.gate.known(in.From):
+		http.Error(w, "this cell is no peer", http.StatusForbidden)
+		return
+	case !s.gate.admits(in.From, time.Now()):
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return
+	}
 	in.Req = s.nextID.Add(1)
-	a, ok := s.askCore(w, in.Req, in)
+	a, ok := askCore(w, s.byCells, in.Req, in)
 	if !ok {
 		return
 	}
@@ -58,14 +71,14 @@
 
 func (s *Server) serveCellStatus(w http.ResponseWriter, _ *http.Request) {
 	id := s.nextID.Add(1)
-	s.serveStatus(w, id, controller.CellStatusRequest{Req: id})
+	serveStatus(w, s.byCells, id, controller.CellStatusRequest{Req: id})
 }
 
 // serveCellGone takes the operators' word that a cell is gone.
 func (s *Server) serveCellGone(w http.ResponseWriter, r *http.Request) {
 	id := s.nextID.Add(1)
 	in := controller.CellGoneRequest{Req: id, Cell: cells.Cell(r.URL.Query().Get("cell")), By: r.URL.Query().Get("by")}
-	if _, ok := s.askCore(w, id, in); ok {
+	if _, ok := askCore(w, s.byCells, id, in); ok {
 		w.WriteHeader(http.StatusOK)
 	}
 }
--- a/server/operators.go
+++ b/server/operators.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"pumicefront/spanexport"
 	"time"
 
 	"pumicefront/controller"
+	"pumicefront/spanexport"
 )
 
 // What the listeners for operators and other cells have in common.
@@ -19,9 +19,9 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 8 << 10}
 }
 
-// askCore has the core answer a request, or refuses it.
-func (s *Server) askCore(w http.ResponseWriter, id uint64, in controller.Input) (controller.Answer, bool) {
-	a, ok := s.ask(id, in)
+// askCore has the core answer a request by way of a queue, or refuses it.
+func askCore(w http.ResponseWriter, queue chan<- request, id uint64, in controller.Input) (controller.Answer, bool) {
+	a, ok := ask(queue, id, in)
 	if ok && a.Status == http.StatusOK {
 		return a, true
 	}
@@ -35,8 +35,8 @@
 }
 
 // serveStatus answers with what the core tells, as JSON.
-func (s *Server) serveStatus(w http.ResponseWriter, id uint64, in controller.Input) {
-	a, ok := s.askCore(w, id, in)
+func serveStatus(w http.ResponseWriter, queue chan<- request, id uint64, in controller.Input) {
+	a, ok := askCore(w, queue, id, in)
 	if !ok {
 		return
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -42,19 +42,21 @@
 
 // Server runs one controller.
 type Server struct {
-	cfg    *config.Platform
-	op     config.Operator
-	core   *controller.Core
-	client *client.Client
-	mesh   *mesh.Mesh
-	inputs chan controller.Input
-	asked  chan request
-	nextID atomic.Uint64
-	open   atomic.Int64              // connections of users and workers
-	until  atomic.Pointer[time.Time] // the core's authority, as it was after its last step
-	zones  *zonetrace.Recorder       // nil: recoveries of zones are not traced
-	cells  *celllink.Client          // nil: this cell is alone
-	moves  *movetrace.Recorder       // nil: moves are not traced
+	cfg     *config.Platform
+	op      config.Operator
+	core    *controller.Core
+	client  *client.Client
+	mesh    *mesh.Mesh
+	inputs  chan controller.Input
+	asked   chan request
+	byCells chan request // what other cells and their operators ask: in a queue of their own; nil: this cell is alone
+	gate    *cellGate
+	nextID  atomic.Uint64
+	open    atomic.Int64              // connections of users and workers
+	until   atomic.Pointer[time.Time] // the core's authority, as it was after its last step
+	zones   *zonetrace.Recorder       // nil: recoveries of zones are not traced
+	cells   *celllink.Client          // nil: this cell is alone
+	moves   *movetrace.Recorder       // nil: moves are not traced
 }
 
 // How the sockets are shared: most for users and workers, some for calls of
@@ -106,6 +108,9 @@
 		inputs: make(chan controller.Input, conns),
 		asked:  make(chan request, conns),
 	}
+	if op.Cell != nil {
+		s.byCells, s.gate = make(chan request, cellQueuePerPeer*len(op.Cell.Peers)), newCellGate(op.Cell)
+	}
 	s.client = client.New(cfg.External.State, cfg.External.Cloud, conns/8, s.entitled)
 	return s
 }
@@ -189,11 +194,13 @@
 			return
 		case in = <-s.inputs:
 		case r := <-s.asked:
-			if time.Since(r.at) > answerTimeout {
-				continue // refused already: no work is wasted on it
+			if in = take(waiting, r); in == nil {
+				continue
+			}
+		case r := <-s.byCells:
+			if in = take(waiting, r); in == nil {
+				continue
 			}
-			waiting[r.id] = r.reply
-			in = r.input
 		case <-timer.C:
 			in = controller.Tick{}
 		}
@@ -215,6 +222,16 @@
 	}
 }
 
+// take notes who waits for the answer to a request, and returns what it asks; nothing if nobody waits
+// any more: no work is wasted on what was refused already.
+func take(waiting map[uint64]chan answer, r request) controller.Input {
+	if time.Since(r.at) > answerTimeout {
+		return nil
+	}
+	waiting[r.id] = r.reply
+	return r.input
+}
+
 func (s *Server) carryOut(o controller.Output) {
 	switch o := o.(type) {
 	case controller.StateCall:
@@ -256,11 +273,17 @@
 	respond(w, a)
 }
 
-// ask has the core answer a request. It has no answer where the core is overloaded or too slow.
+// ask has the core answer a request of a user, a worker or an operator.
 func (s *Server) ask(id uint64, in controller.Input) (controller.Answer, bool) {
+	return ask(s.asked, id, in)
+}
+
+// ask has the core answer a request by way of a queue. It has no answer where the core is overloaded or
+// too slow.
+func ask(queue chan<- request, id uint64, in controller.Input) (controller.Answer, bool) {
 	reply := make(chan answer, 1)
 	select {
-	case s.asked <- request{id, in, time.Now(), reply}:
+	case queue <- request{id, in, time.Now(), reply}:
 	default:
 		return controller.Answer{}, false
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -8,6 +8,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"pumicefront/celllink"
+	"pumicefront/cells"
 	"pumicefront/config"
 	"pumicefront/controller"
 	"pumicefront/wire"
@@ -132,3 +136,46 @@
 		}
 	}
 }
+
+// A cell that floods is turned away at once and takes no place of a user, nor of another cell; a cell that
+// is no peer is not heard at all.
+func TestCellThatFloodsTurnsNobodyElseAway(t *testing.T) {
+	op := config.DefaultOperator()
+	op.Cell = &config.Cell{Name: "a", Peers: []config.CellPeer{{Name: "b"}, {Name: "c"}}}
+	cfg := &config.Platform{}
+	cfg.Facts.Resources.MaxConnections = 40
+	s := New(cfg, op)
+	call := func(from string) *httptest.ResponseRecorder {
+		body, err := proto.Marshal(&celllink.Request{From: from})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := httptest.NewRecorder()
+		s.serveCellMessages(w, httptest.NewRequest("POST", cells.MessagesPath, bytes.NewReader(body)))
+		return w
+	}
+	answering := func() {
+		r := <-s.byCells
+		r.reply <- answer{controller.Answer{Status: http.StatusOK, Body: controller.CellAnswer{}}, time.Now()}
+	}
+	statuses := map[int]int{}
+	for range 500 {
+		if len(s.asked) > 0 {
+			t.Fatal("a call of a cell takes the place of a user")
+		}
+		go answering()
+		w := call("b")
+		if statuses[w.Code]++; w.Code == http.StatusTooManyRequests && w.Header().Get("Retry-After") != "1" {
+			t.Error("no time to come back")
+		}
+	}
+	if statuses[http.StatusOK] < cellCallsAtOnce || statuses[http.StatusTooManyRequests] < 400 || len(statuses) != 2 {
+		t.Errorf("answers to a flood: %v", statuses)
+	}
+	if w := call("c"); w.Code != http.StatusOK {
+		t.Errorf("another cell gets %d", w.Code)
+	}
+	if w := call("d"); w.Code != http.StatusForbidden {
+		t.Errorf("a cell that is no peer gets %d", w.Code)
+	}
+}
--- a/server/spreading.go
+++ b/server/spreading.go
@@ -27,5 +27,5 @@
 // serveSpread tells operators how load is spread.
 func (s *Server) serveSpread(w http.ResponseWriter, _ *http.Request) {
 	id := s.nextID.Add(1)
-	s.serveStatus(w, id, controller.SpreadStatusRequest{Req: id})
+	serveStatus(w, s.asked, id, controller.SpreadStatusRequest{Req: id})
 }
--- a/server/zones.go
+++ b/server/zones.go
@@ -27,5 +27,5 @@
 // serveZones tells operators of the zones.
 func (s *Server) serveZones(w http.ResponseWriter, _ *http.Request) {
 	id := s.nextID.Add(1)
-	s.serveStatus(w, id, controller.ZoneStatusRequest{Req: id})
+	serveStatus(w, s.asked, id, controller.ZoneStatusRequest{Req: id})
 }
