Cells: an index of the jobs that are elsewhere or another cell's, instead of walks over all

Cause: each header write had the cells' side run again, which walked all headers, and so did each call. Change: cellIndex follows the headers; open grants, floors, the room that is lent and what is given back go by it.

--- a/controller/cell_holder.go
+++ b/controller/cell_holder.go
@@ -107,10 +107,8 @@
 			left -= a.size
 		}
 	}
-	for _, j := range s.order {
-		if j.origin != nil {
-			left -= s.sizeLeft(j)
-		}
+	for _, j := range s.foreignJobs() {
+		left -= s.sizeLeft(j)
 	}
 	return max(left, 0)
 }
@@ -148,6 +146,19 @@
 	}
 }
 
+// foreignJobs lists the unfinished jobs of other cells, by home and id.
+func (s *cellSide) foreignJobs() []*job {
+	var all []*job
+	for _, home := range slices.Sorted(maps.Keys(s.c.control.cells.foreign)) {
+		for _, id := range slices.Sorted(maps.Keys(s.c.control.cells.foreign[home])) {
+			if j := s.jobs[id]; j != nil {
+				all = append(all, j)
+			}
+		}
+	}
+	return all
+}
+
 // accept records an acceptance in place of the fence, as the header of a job that is nobody's here.
 func (s *cellSide) accept(m CellMessage, record cells.HolderRecord) {
 	if m.Spec.ID != m.Job || s.rewriting[m.Job] {
@@ -270,8 +281,9 @@
 func (s *cellSide) raiseFloor(home cells.Cell, epoch cells.Epoch) {
 	s.dropAcceptances(home, "", epoch)
 	s.wantPlacement()
-	for id, h := range s.c.control.headers {
-		if h.Origin == nil || h.Origin.Home != home || h.Origin.Epoch > epoch {
+	for _, id := range slices.Sorted(maps.Keys(s.c.control.cells.foreign[home])) {
+		h := s.c.control.headers[id]
+		if h.Origin.Epoch > epoch {
 			continue
 		}
 		recall := cells.Message{Kind: cells.KindRecall, From: home, To: s.self(), Job: id, Epoch: h.Origin.Epoch}
@@ -376,9 +388,9 @@
 // giveBackWaiting returns jobs of other cells of which nothing has been in force here for long: there
 // is no room, or their team is not known here any more.
 func (s *cellSide) giveBackWaiting() {
-	for _, j := range s.order {
+	for _, j := range s.foreignJobs() {
 		h := s.c.control.headers[j.id]
-		if j.origin == nil || len(j.attempts) > 0 || h == nil || h.Origin == nil {
+		if len(j.attempts) > 0 || h == nil || h.Origin == nil {
 			delete(s.idle, j.id)
 			continue
 		}
--- a/controller/cell_links.go
+++ b/controller/cell_links.go
@@ -102,10 +102,8 @@
 // openGrants lists the home's records of jobs that are granted, oldest epoch first.
 func (s *cellSide) openGrants() []cells.HomeRecord {
 	var open []cells.HomeRecord
-	for id, h := range s.c.control.headers {
-		if h.Grant != nil {
-			open = append(open, homeRecord(id, h))
-		}
+	for id := range s.c.control.cells.granted {
+		open = append(open, homeRecord(id, s.c.control.headers[id]))
 	}
 	slices.SortFunc(open, func(a, b cells.HomeRecord) int { return cmp.Compare(a.Epoch, b.Epoch) })
 	return open
--- a/controller/cells_test.go
+++ b/controller/cells_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"testing"
@@ -13,7 +14,7 @@
 )
 
 // celled is a leader of a cell that spills over, with one job that waits.
-func celled(t *testing.T) (*Core, *leader, *job) {
+func celled(t testing.TB) (*Core, *leader, *job) {
 	t.Helper()
 	c, l, _ := leading(t)
 	c.op.Cell = &config.Cell{Name: "a", SpillAfter: 5 * time.Second, ReturnAfter: 5 * time.Second, LendCores: 10,
@@ -410,3 +411,67 @@
 	}
 	t.Error("no fence is written")
 }
+
+// The index of what is in other cells, or another cell's, is what a walk over all headers finds, whatever
+// changes.
+func TestCellIndex(t *testing.T) {
+	c, _, _ := celled(t)
+	rng := rand.New(rand.NewPCG(2, 7))
+	homes := []cells.Cell{"b", "c"}
+	for range 2000 {
+		h := &headerRecord{Job: wire.Job{ID: fmt.Sprintf("req-%06d", 100+rng.IntN(40)), Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1}, PerChunk: 10}
+		switch rng.IntN(4) {
+		case 0:
+			h.Grant = &grantRecord{Holder: homes[rng.IntN(2)], Epoch: 3}
+		case 1:
+			h.Origin = &originRecord{Home: homes[rng.IntN(2)], Epoch: 4}
+		case 2:
+			c.headerChanged(h.Job.ID, nil)
+			continue
+		}
+		c.headerChanged(h.Job.ID, h)
+		granted, foreign := 0, map[cells.Cell]int{}
+		for id, h := range c.control.headers {
+			if h.Grant != nil {
+				granted++
+			}
+			if (h.Grant != nil) != c.control.cells.granted[id] {
+				t.Fatalf("%s is granted %v", id, h.Grant != nil)
+			}
+			if h.Origin != nil {
+				foreign[h.Origin.Home]++
+				if !c.control.cells.foreign[h.Origin.Home][id] {
+					t.Fatalf("%s of %s is not in the index", id, h.Origin.Home)
+				}
+			}
+		}
+		for _, home := range homes {
+			if len(c.control.cells.granted) != granted || len(c.control.cells.foreign[home]) != foreign[home] {
+				t.Fatalf("%d of %d granted, %d of %d of %s", len(c.control.cells.granted), granted, len(c.control.cells.foreign[home]), foreign[home], home)
+			}
+		}
+	}
+}
+
+// BenchmarkCellStep is a step of the cells' side and a call of another cell, beside 5,000 own jobs of which
+// 50 are elsewhere and 50 of that cell.
+func BenchmarkCellStep(b *testing.B) {
+	c, l, _ := celled(b)
+	for i := range 5000 {
+		h := &headerRecord{Job: wire.Job{ID: fmt.Sprintf("req-%06d", 1000+i), Team: "red", Kind: wire.KindArray, Priority: "high", Tasks: 1, CPUs: 1}, PerChunk: 10}
+		switch i % 100 {
+		case 0:
+			h.Grant = &grantRecord{Holder: "b", Epoch: cells.Epoch(1000 + i)}
+		case 1:
+			h.Origin = &originRecord{Home: "b", Epoch: cells.Epoch(1000 + i)}
+		}
+		c.headerChanged(h.Job.ID, h)
+	}
+	for b.Loop() {
+		c.out = nil
+		l.cells.openGrants()
+		l.cells.raiseFloor("b", 1)
+		l.cells.lends()
+		l.cells.giveBackWaiting()
+	}
+}
--- a/controller/control.go
+++ b/controller/control.go
@@ -21,6 +21,7 @@
 	leader          *leaderRecord
 	token           uint64
 	headers         map[string]*headerRecord
+	cells           cellIndex
 	epoch           cells.Epoch // the last that was taken for a grant to another cell
 	gone            map[cells.Cell]goneRecord
 	members         map[string]int // the version that each member has noted
@@ -34,6 +35,7 @@
 func (k *control) init() {
 	k.versions = map[string]uint64{}
 	k.headers = map[string]*headerRecord{}
+	k.cells.init()
 	k.members = map[string]int{}
 	k.gone = map[cells.Cell]goneRecord{}
 }
@@ -254,6 +256,7 @@
 
 func (c *Core) headerChanged(job string, h *headerRecord) {
 	was := c.control.headers[job]
+	c.control.cells.changed(job, was, h)
 	switch {
 	case h != nil:
 		c.control.headers[job] = h
