--- a/controller/spreading_plan.go
+++ b/controller/spreading_plan.go
@@ -22,7 +22,7 @@
 
 // plan begins the moves that are worth it, where nothing speaks against moves now.
 func (s *spreading) plan() {
-	if s.c.now.Sub(s.plannedAt) < planInterval || !s.c.now.Before(s.authority) {
+	if s.c.now.Sub(s.plannedAt) < planInterval {
 		return
 	}
 	s.plannedAt = s.c.now
