Review: a controller that was silent calls finished jobs queued

Cause: after the state service has dropped the changes that a controller missed (410), two reloads of its copy of the job headers can run at once; the one that was sent first and is answered last puts back headers deleted meanwhile. Change: review/1, a case with its stand-ins (build tag review, outside of the default build and tests).

--- /dev/null
+++ b/review/standin/watch_gap.go
@@ -0,0 +1,119 @@
+//go:build review
+
+package main
+
+import (
+	"strings"
+	"syscall"
+	"time"
+
+	"pumicefront/wire"
+)
+
+// watchGap: two of three controllers are silent until the state service has made more than the 10,000 changes
+// that it keeps for watches, and then go on. Of the reads of all watched keys, which each controller makes when
+// it starts and when it catches up, every second one is answered after 400 ms.
+func watchGap() {
+	d := newDeployment(gentFleet, 3, 8, time.Second)
+	reads := map[string]int{}
+	d.state.delay = func(node, kind string) time.Duration {
+		if kind != "range c/" {
+			return 0
+		}
+		if reads[node]++; reads[node]%2 == 0 {
+			return 400 * time.Millisecond
+		}
+		return 0
+	}
+	d.awaitHealthy(15 * time.Second)
+	for d.leader() == nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	stopLoad := make(chan struct{})
+	go submitClips(d, 28, stopLoad)
+	time.Sleep(4 * time.Second)
+	var silent []*node
+	leader := d.leader()
+	for _, n := range d.nodes {
+		if n != leader {
+			silent = append(silent, n)
+		}
+	}
+	d.log("%s and %s are the controllers in question, %s leads", silent[0].name, silent[1].name, leader.name)
+	first := d.state.changeCount()
+	if trouble() {
+		for _, n := range silent {
+			n.signal(syscall.SIGSTOP)
+			d.log("%s is silent from now on", n.name)
+		}
+	}
+	begin := time.Now()
+	for d.state.changeCount()-first <= keptChanges+50 {
+		if time.Since(begin) > 90*time.Second {
+			fatal("only %d changes in 90 s", d.state.changeCount()-first)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	resumed := time.Now()
+	if trouble() {
+		for _, n := range silent {
+			n.signal(syscall.SIGCONT)
+			d.log("%s goes on, after %.1f s", n.name, resumed.Sub(begin).Seconds())
+		}
+	}
+	time.Sleep(2 * time.Second)
+	close(stopLoad)
+	for until := time.Now().Add(12 * time.Second); !(silent[0].isHealthy() && silent[1].isHealthy()); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(until) {
+			fatal("the controllers did not become healthy again")
+		}
+	}
+	// Users ask again about jobs of which they were told that they are done.
+	asked := 0
+	for range 2 {
+		for _, j := range d.allJobs() {
+			if _, at := j.finalAt(); !at.After(resumed.Add(-time.Second)) {
+				continue
+			}
+			for _, n := range silent {
+				if n.isHealthy() && d.poll(j, n) != "" {
+					asked++
+				}
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	d.state.mu.Lock()
+	for _, n := range silent {
+		for k, count := range d.state.counts {
+			if strings.HasPrefix(k, n.name) {
+				d.log("requests of %s: %d", k, count)
+			}
+		}
+		d.log("answers 410 to %s: %d", n.name, d.state.gone[n.name])
+	}
+	d.log("answers 429 to all: %d; changes: %d", d.state.limited, d.state.changes)
+	d.state.mu.Unlock()
+	d.log("%d answers about jobs that were done", asked)
+	d.finish()
+}
+
+// submitClips submits a number of small jobs a second, each of which is followed by its user, until stop is closed.
+func submitClips(d *deployment, perSecond int, stop chan struct{}) {
+	tick := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+			go func() {
+				j := d.newJob(wire.Job{Class: "losse-klanken", Team: "annotatie", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 0.25, MemoryGB: 0.9,
+					Image: "img-01", ImageGB: 0.1, Spot: true, EstimateS: 1}, time.Second)
+				if d.submit(j) {
+					d.follow(j, 1500*time.Millisecond)
+				}
+			}()
+		}
+	}
+}
