Review: after a silent controller has taken over, accepted jobs don't run

Cause: the headers that case 1 brings back are unfinished jobs to a new leader; their writes can't succeed, are tried again without end before all others, and use up the budget of changes.

--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -116,3 +117,19 @@
 	}
 	return p
 }
+
+// idle returns how many machines are up and have no task that waits, runs or saves.
+func (c *cloud) idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, m := range c.workers {
+		m.mu.Lock()
+		busy := slices.ContainsFunc(m.tasks, func(t *workerTask) bool { return t.state != wire.TaskExited })
+		if m.up && !m.ended && !busy {
+			n++
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -71,42 +71,6 @@
 	machine: wire.MachineType{Name: "veldbak", CPUs: 16, MemoryGB: 64, CacheGB: 30, FetchGBps: 0.25, Price: 1.17, SpotPrice: 0.36, BootS: 15, Zones: []string{"gent-kelder"}},
 }
 
-// gent has the settings of dialectika-gent, the first and smallest deployment.
-var gent = site{
-	name: "dialectika-gent", zones: []string{"gent-kelder"},
-	teams: `[[facts.teams]]
-name = "annotatie"
-cpus = 256.0
-cpus_max = 608.0
-gpus = 0.0
-gpus_max = 0.0
-[[facts.teams]]
-name = "opname"
-cpus = 176.0
-cpus_max = 608.0
-gpus = 0.0
-gpus_max = 0.0
-[[facts.objectives]]
-kind = "finished"
-class = "herbeluister"
-within_s = 60.0
-share = 0.88
-[[facts.objectives]]
-kind = "wait"
-class = "klankarchief"
-within_s = 1.0
-share = 0.88
-[[facts.objectives]]
-kind = "guarantee"
-within_s = 5.0
-share = 0.93
-`,
-	reportS: 2.5, leaseS: 16, cancelS: 36,
-	state:    stateLimits{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 16},
-	cloudRPS: 2, listLagS: 12, memoryMB: 125, connections: 1500,
-	machine: wire.MachineType{Name: "veldbak", CPUs: 16, MemoryGB: 64, CacheGB: 30, FetchGBps: 0.25, Price: 1.17, SpotPrice: 0.36, BootS: 15, Zones: []string{"gent-kelder"}},
-}
-
 // node is one controller process with the stand-ins' view of it.
 type node struct {
 	d                     *deployment
@@ -601,3 +565,10 @@
 	d.done[t.id] = true
 	d.logLocked("task %s attempt %d done on %s", t.id, t.attempt, w.id)
 }
+
+// hasStarted reports whether an attempt of a task has started on a machine.
+func (d *deployment) hasStarted(task string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.starts[task] > 0
+}
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -41,11 +41,12 @@
 	nextLease uint64
 	changed   chan struct{} // closed and replaced at each change
 
-	refused map[string]bool                       // nodes whose requests get 503
-	delay   func(node, kind string) time.Duration // additional delay of an answer, after the request was carried out
-	counts  map[string]int                        // requests by node and kind
-	gone    map[string]int                        // answers 410 by node
-	limited int                                   // answers 429
+	refused   map[string]bool                       // nodes whose requests get 503
+	delay     func(node, kind string) time.Duration // additional delay of an answer, after the request was carried out
+	counts    map[string]int                        // requests by node and kind
+	gone      map[string]int                        // answers 410 by node
+	limited   int                                   // answers 429
+	conflicts map[string]int                        // transactions with failed conditions, by node
 }
 
 type stateLease struct {
@@ -55,7 +56,7 @@
 
 func newStateService(limits stateLimits) *stateService {
 	s := &stateService{limits: limits, items: map[string]wire.Item{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}),
-		refused: map[string]bool{}, counts: map[string]int{}, gone: map[string]int{},
+		refused: map[string]bool{}, counts: map[string]int{}, gone: map[string]int{}, conflicts: map[string]int{},
 		requests: rate.NewLimiter(rate.Limit(limits.RPS), int(limits.RPS)), writes: rate.NewLimiter(rate.Limit(limits.WriteRPS), int(limits.WriteRPS))}
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
@@ -179,7 +180,9 @@
 	case path == wire.PathKV:
 		return http.StatusOK, s.page(q.Get("prefix"), q.Get("after"), q.Get("limit")), kind
 	case kind == "multi":
-		status, answer = s.txn(body)
+		if status, answer = s.txn(body); status == http.StatusConflict {
+			s.conflicts[node]++
+		}
 		return status, answer, kind
 	case path == wire.PathWatch:
 		status, answer = s.follow(node, r, q.Get("prefix"), q.Get("after"), q.Get("wait_ms"))
