--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 func main() {
-	cases := map[string]func(){"watch-gap": watchGap, "watch-gap-crash": watchGapCrash}
+	cases := map[string]func(){"cell-limit": cellLimit, "watch-gap": watchGap, "watch-gap-crash": watchGapCrash}
 	run := cases[os.Args[len(os.Args)-1]]
 	if run == nil || os.Getenv("RECORD") == "" {
 		fmt.Fprintln(os.Stderr, "usage: RECORD=FILE standin CASE")
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -43,6 +43,7 @@
 
 	refused   map[string]bool                       // nodes whose requests get 503
 	delay     func(node, kind string) time.Duration // additional delay of an answer, after the request was carried out
+	hold      func(path string, body []byte)        // called before a request is carried out; it may wait
 	counts    map[string]int                        // requests by node and kind
 	gone      map[string]int                        // answers 410 by node
 	limited   int                                   // answers 429
@@ -119,6 +120,9 @@
 			return
 		}
 		time.Sleep(2 * time.Millisecond)
+		if s.hold != nil {
+			s.hold(r.URL.Path, body)
+		}
 		status, answer, kind := s.handle(node, r, body)
 		time.Sleep(2 * time.Millisecond)
 		s.mu.Lock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -296,7 +296,8 @@
 		w.exit(t, wire.ExitReasonUnknownJob)
 		return
 	}
-	cpus, memory := w.d.site.machine.CPUs-job.spec.CPUs, w.d.site.machine.MemoryGB-job.spec.MemoryGB
+	size := w.size()
+	cpus, memory := size.CPUs-job.spec.CPUs, size.MemoryGB-job.spec.MemoryGB
 	for _, o := range w.tasks {
 		if o == t || o.state == wire.TaskExited {
 			continue
@@ -313,7 +314,7 @@
 	}
 	fetch := 10 * time.Millisecond
 	if !w.images[job.spec.Image] {
-		fetch = time.Duration(job.spec.ImageGB / w.d.site.machine.FetchGBps * float64(time.Second))
+		fetch = time.Duration(job.spec.ImageGB / size.FetchGBps * float64(time.Second))
 	}
 	t.timer = time.AfterFunc(fetch, func() {
 		w.mu.Lock()
@@ -343,3 +344,8 @@
 		})
 	})
 }
+
+// size returns the type of the machine.
+func (w *worker) size() wire.MachineType {
+	return w.d.site.machines[slices.IndexFunc(w.d.site.machines, func(t wire.MachineType) bool { return t.Name == w.typ })]
+}
