Review: one error of a task keeps its job off the only machine that it fits

Cause: after an error a job avoids the machine, and the list of machines to avoid is emptied only when it has grown to half of all machines, whatever their type and zone. A job that fewer machines fit waits for ever.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
-	"one-zone-shard": caseZoneShard,
+	"one-zone-shard":  caseZoneShard,
+	"avoided-machine": caseAvoidedMachine,
 }
 
 func main() {
