Review: one submission with a mistake ends every controller that leads

Cause: the leader divides the room that running batch tasks will free by the size of a task of a waiting job. With a size near zero the result doesn't fit into an integer, and the slice that is cut with it panics on the goroutine that owns the core. The job is on record, so the next leader ends the same way.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,6 +18,7 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
+	"mistaken-job":    caseMistakenJob,
 	"one-zone-shard":  caseZoneShard,
 	"avoided-machine": caseAvoidedMachine,
 }
