--- a/review/standin2/avoided_machine.go
+++ b/review/standin2/avoided_machine.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -38,7 +40,9 @@
 // node is one controller.
 type node struct {
 	name, addr, mesh string
+	cellAddr         string // of the listener for other cells
 	settingsPath     string
+	operatorsPath    string // operators' file in place of that of the deploy file; empty: none
 	cmd              *exec.Cmd
 	done             chan struct{}
 }
@@ -57,6 +61,11 @@
 	client     *http.Client
 	closeOnce  sync.Once
 
+	cuts cuts
+
+	cell string // name of the cell; empty: cells are off
+	peer *deployment
+
 	mu   sync.Mutex
 	jobs map[string]*job
 }
@@ -106,11 +115,18 @@
 
 // startControllers starts controllers with the command of the deploy file.
 func (d *deployment) startControllers(count int) error {
-	state, cloud := d.serve(d.store), d.serve(d.cloud)
+	if err := d.addNodes(count); err != nil {
+		return err
+	}
+	return d.startNodes()
+}
+
+// addNodes chooses the addresses of controllers.
+func (d *deployment) addNodes(count int) error {
 	var free []net.Listener
 	for i := range count {
 		n := &node{name: fmt.Sprintf("kraal-%d", i)}
-		for _, addr := range []*string{&n.addr, &n.mesh} {
+		for _, addr := range []*string{&n.addr, &n.mesh, &n.cellAddr} {
 			ln, err := net.Listen("tcp", loopbackHost(2)+":0") // another host than that of the stand-ins, so that they don't take the port
 			if err != nil {
 				return err
@@ -125,7 +141,29 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// startNodes writes the settings of the controllers and starts them.
+func (d *deployment) startNodes() error {
+	cloud := d.serve(d.cloud)
 	for _, n := range d.nodes {
+		state := d.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			d.cuts.mu.Lock()
+			lost := d.cuts.state == n.name
+			d.cuts.mu.Unlock()
+			if lost {
+				<-r.Context().Done()
+				return
+			}
+			d.store.ServeHTTP(w, r)
+		}))
+		if d.cell != "" {
+			n.operatorsPath = filepath.Join(d.dir, n.name+".hcl")
+			if err := os.WriteFile(n.operatorsPath, []byte(d.operatorsText(n)), 0o600); err != nil {
+				return err
+			}
+		}
 		n.settingsPath = filepath.Join(d.dir, n.name+".toml")
 		if err := os.WriteFile(n.settingsPath, []byte(d.settingsText(n, state, cloud)), 0o600); err != nil {
 			return err
@@ -137,6 +175,32 @@
 	return nil
 }
 
+// operatorsText is the operators' file of a controller of a cell, as in deploy/cell.hcl.
+func (d *deployment) operatorsText(n *node) string {
+	var peers []string
+	for _, o := range d.peer.nodes {
+		peers = append(peers, fmt.Sprintf("%q", o.cellAddr))
+	}
+	return fmt.Sprintf(`leader_life   = "1.4s"
+silent_share  = 0.25
+idle_s        = 15
+headroom      = 0.1
+headroom_most = 1.5
+surge         = 2
+surge_batch   = 1
+cell {
+  name         = %q
+  listen       = %q
+  spill_after  = "5s"
+  return_after = "30s"
+  lend_cores   = 200
+  peer %q {
+    addresses = [%s]
+  }
+}
+`, d.cell, n.cellAddr, d.peer.cell, strings.Join(peers, ", "))
+}
+
 func (d *deployment) settingsText(n *node, state, cloud string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "member = %q\narea = %q\nclient_listen = %q\nmesh_addr = %q\n", n.name, d.settings.Zones[0], n.addr, n.mesh)
@@ -181,6 +245,11 @@
 	if err != nil {
 		return err
 	}
+	for i, arg := range command {
+		if arg == "--operators" && n.operatorsPath != "" {
+			command[i+1] = n.operatorsPath
+		}
+	}
 	n.cmd = exec.Command(command[0], append(command[1:], n.settingsPath)...)
 	n.cmd.Dir = d.repository
 	n.cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 runs the cases of the second review: a small deployment of real controller processes on
 // loopback addresses, with stand-ins for the state service, the cloud, the workers and the users.
 package main
@@ -20,6 +22,9 @@
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
 	"mistaken-job":    caseMistakenJob,
 	"one-zone-shard":  caseZoneShard,
+	"slow-tasks":      triedSlowTasks,
+	"lost-links":      triedLostLinks,
+	"same-id":         caseSameID,
 	"avoided-machine": caseAvoidedMachine,
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -79,6 +81,9 @@
 	}
 	w.ended = true
 	w.d.note("%s: %s, with %d tasks", w.id, why, len(w.tasks))
+	for _, t := range w.tasks {
+		w.d.cuts.ends(t.ID, w.id)
+	}
 	w.tasks = nil
 }
 
@@ -96,6 +101,9 @@
 		if time.Since(w.leaseFrom) > w.lease() {
 			w.d.note("%s: lease over, %d tasks killed", w.id, len(w.tasks))
 			w.session++
+			for _, t := range w.tasks {
+				w.d.cuts.ends(t.ID, w.id)
+			}
 			w.tasks, w.leaseFrom = nil, time.Now()
 			w.signal()
 		}
@@ -148,6 +156,13 @@
 	w.mu.Lock()
 	rep, n, sent := w.report(), w.node, time.Now()
 	w.mu.Unlock()
+	if w.d.cuts.loses(w.d.nodes[n]) {
+		time.Sleep(4 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.node = (n + 1) % len(w.d.nodes)
+		return time.Second
+	}
 	status, raw := w.d.post(w.d.nodes[n].addr, wire.PathReport, wire.Marshal(rep), 4*time.Second)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -189,6 +204,13 @@
 
 func (w *worker) serveCommands(rw http.ResponseWriter, r *http.Request) {
 	c := decodeBody[wire.Commands](r)
+	w.d.cuts.mu.Lock()
+	lost := w.d.cuts.workers != "" && c.Token <= w.d.cuts.token
+	w.d.cuts.mu.Unlock()
+	if lost {
+		<-r.Context().Done()
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if c.Token < w.token || c.Session != w.session {
@@ -230,6 +252,7 @@
 
 func (w *worker) exit(t *workerTask, why string) {
 	t.State, t.ExitReason = wire.TaskExited, why
+	w.d.cuts.ends(t.ID, w.id)
 	w.d.note("%s: %s attempt %d ended: %s", w.id, t.ID, t.Attempt, why)
 	w.signal()
 }
@@ -275,6 +298,7 @@
 	w.later(t, fetch, func() {
 		w.images[j.spec.Image] = true
 		t.State = wire.TaskRunning
+		w.d.cuts.begins(id, w.id)
 		w.d.note("%s: %s attempt %d runs", w.id, id, attempt)
 		w.signal()
 		if j.fails != nil && j.fails(w, number) {
