A job whose tasks take next to no cores no longer ends every leader

Cause: autoscaler.backlog divided the room that running batch tasks free by the size of a task and converted the quotient to an int before it compared it with the number of tasks. Go leaves the conversion of a float beyond the range of an int to the machine; on amd64 it gives the least int, which min() kept, and the slice panicked on the goroutine that owns the core. OrderWithAging had the same conversion; there it took the precedence by age from all tasks of a started job.

Change: scheduler.TasksWithin compares the quotient with the number of tasks first and converts it only if it is smaller. Both places use it. Nothing depends on how the job was accepted, so a job on record is mended too.

--- a/controller/autoscaler.go
+++ b/controller/autoscaler.go
@@ -123,8 +123,8 @@
 	scheduler.Order(ds)
 	freed := s.expectedFreedSize() - s.expectedArrivalSize()
 	for _, d := range ds {
-		if size := d.Measure.Of(d.TaskResources); d.Rank > 0 && !d.Service && size > 0 && freed > 0 {
-			n := min(int(freed/size), len(d.Tasks))
+		if size := d.Measure.Of(d.TaskResources); d.Rank > 0 && !d.Service && size > 0 {
+			n := scheduler.TasksWithin(freed, size, len(d.Tasks))
 			freed -= float64(n) * size
 			d.Tasks = d.Tasks[n:]
 		}
--- a/controller/scale_out_test.go
+++ b/controller/scale_out_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -178,3 +179,19 @@
 		t.Errorf("%v is never deleted while there are task counts to write", l.obsoleteKeys)
 	}
 }
+
+// A job whose tasks take next to no cores ended every leader with "slice bounds out of range": how many of these tasks fit
+// into the room that running tasks free exceeds the range of an integer.
+func TestBacklogOfTasksWithNextToNoCores(t *testing.T) {
+	for _, cpus := range []float64{0.5e-18, math.SmallestNonzeroFloat64, 1e-300, 0} {
+		c, l, running := newLeadingCore(t)
+		c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
+		c.setTypes([]wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, BootS: 30, Zones: []string{"a"}}})
+		running.attempts[0] = &attempt{job: running, machine: l.machine("i-1"), phase: attemptRunning, runningSince: c.now}
+		running.state.Start(0)
+		running.state.Start(1)
+		spec := wire.Job{ID: "req-000099", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: cpus, MemoryGB: 60}
+		l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+		l.autoscaler.backlog()
+	}
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -39,7 +39,7 @@
 	for _, d := range ds {
 		n, size := len(d.Tasks), d.Measure.Of(d.TaskResources)
 		if d.Aged && urgencyTier(d) > 0 && !d.Gang && size > 0 {
-			n = min(n, max(int(reserve/size), 1-boolToInt(d.Started)))
+			n = min(n, max(TasksWithin(reserve, size, n), 1-boolToInt(d.Started)))
 			reserve -= float64(n) * size
 		}
 		if n < len(d.Tasks) {
--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -24,6 +24,18 @@
 	return int(math.Max(0, math.Min(n, 1<<20)))
 }
 
+// TasksWithin returns how many of a number of tasks fit into room, if each has the given size. The ratio of room to size
+// may exceed the range of an int, so it is compared before it is converted.
+func TasksWithin(room, size float64, tasks int) int {
+	if !(room > 0) {
+		return 0
+	}
+	if fitting := room / size; fitting < float64(tasks) {
+		return int(fitting)
+	}
+	return tasks
+}
+
 // Measure converts resources of different kinds into one size, in cores, by the dominant
 // resource. Its value is the number of cores that count as much as one GPU; it is 0 where
 // there are no GPUs, and then only cores count.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -452,3 +452,15 @@
 		t.Error("an excess that is too large broke no guarantee: the check does not detect it")
 	}
 }
+
+// A started job whose tasks take next to no cores keeps its precedence by age: how many of its tasks fit into the reserve
+// exceeds the range of an integer, and all of them lost the precedence.
+func TestAgedTasksOfNextToNoCoresFitIntoTheReserve(t *testing.T) {
+	for _, cpus := range []float64{0.5e-18, math.SmallestNonzeroFloat64, 1e-300, 0} {
+		d := demand(3, cpus)
+		d.Rank, d.Aged, d.Started = 2, true, true
+		if ordered := OrderWithAging([]*Demand{d}, 4); len(ordered) != 1 || !ordered[0].Aged || len(ordered[0].Tasks) != 3 {
+			t.Errorf("tasks of %v cores are split into %d demands although all of them fit into the reserve", cpus, len(ordered))
+		}
+	}
+}
