Tasks that take memory and hardly any cores count with their memory

Seen: an array of 0.5e-18 cores and 60 GB a task gets no machine requested for it as long as any batch task is about to end, since any room that becomes free counts as enough for it. Once such an array has aged, all of its tasks are placed before all other work, since none of them counts against the reserve of aged jobs; and "least work first" puts it first before that. The size of a task was taken from its cores and GPUs alone.

Change: scheduler.Measure also has the cores that count as much as one GB, by the machine types, and OfTask takes the dominant one of cores, GPUs and memory. The sizes of tasks use it (backlog, arrivals, reserve of aged jobs, work left, cores lent to cells, consolidation); machines are compared by cores and GPUs as before. TestPlaceComparesMachinesByDominantShare names the field that it varies; it checks the same.

Evidence: TestTasksOfMemoryAloneAreScaledOutFor ("0 tasks need machines while one core becomes free, want 2") and TestAgedTasksOfMemoryAloneStayWithinTheReserve ("split into 1 demands, the first of 100 tasks") fail with the sizes of before and pass with the new ones.

--- a/controller/autoscaler.go
+++ b/controller/autoscaler.go
@@ -123,7 +123,7 @@
 	scheduler.Order(ds)
 	freed := s.expectedFreedSize() - s.expectedArrivalSize()
 	for _, d := range ds {
-		if size := d.Measure.Of(d.TaskResources); d.Rank > 0 && !d.Service && size > 0 {
+		if size := d.Measure.OfTask(d.TaskResources); d.Rank > 0 && !d.Service && size > 0 {
 			n := scheduler.TasksWithin(freed, size, len(d.Tasks))
 			freed -= float64(n) * size
 			d.Tasks = d.Tasks[n:]
@@ -141,7 +141,7 @@
 	size := 0.0
 	for _, a := range s.arrivals {
 		if p := s.peaks[a.class]; p != nil && p.spec.Kind != wire.KindService && s.c.now.Sub(a.at) < arrivalWindow {
-			size += float64(a.tasks) * s.c.measure.Of(taskResources(&p.spec))
+			size += float64(a.tasks) * s.c.measure.OfTask(taskResources(&p.spec))
 		}
 	}
 	return size * s.shortestBootS() / arrivalWindow.Seconds()
@@ -161,7 +161,7 @@
 		}
 		for _, a := range j.attempts {
 			if a.phase == attemptRunning && j.spec.EstimateS-s.c.now.Sub(a.runningSince).Seconds() < boot {
-				freed += s.c.measure.Of(taskResources(&j.spec))
+				freed += s.c.measure.OfTask(taskResources(&j.spec))
 			}
 		}
 	}
--- a/controller/cell_holder.go
+++ b/controller/cell_holder.go
@@ -98,7 +98,7 @@
 
 // size returns the total size of all tasks of a job, in cores.
 func (s *spilloverManager) size(spec *wire.Job) float64 {
-	return s.c.measure.Of(taskResources(spec)) * float64(spec.Tasks)
+	return s.c.measure.OfTask(taskResources(spec)) * float64(spec.Tasks)
 }
 
 // availableCores returns how many of the lent cores are free: the configured share, less the unfinished tasks
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -73,7 +73,7 @@
 			!s.fitsCheaper(&a.job.spec, m) && s.headroomShare(&a.job.spec) > 0 {
 			return false
 		}
-		used += s.c.measure.Of(taskResources(&a.job.spec))
+		used += s.c.measure.OfTask(taskResources(&a.job.spec))
 	}
 	return 2*used <= s.c.measure.Of(machineCapacity(s.c.types[m.typ]))
 }
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -80,7 +80,7 @@
 	}
 	for _, j := range l.jobsByAcceptance {
 		if l.c.now.Sub(j.ready) > unfinishedAgingAfter && j.spec.Kind != wire.KindService {
-			left -= float64(len(j.attempts)) * l.c.measure.Of(taskResources(&j.spec))
+			left -= float64(len(j.attempts)) * l.c.measure.OfTask(taskResources(&j.spec))
 		}
 	}
 	return max(left, 0)
@@ -126,7 +126,7 @@
 
 // sizeLeft is the total size of a job's unfinished tasks.
 func (j *job) sizeLeft(m scheduler.Measure) float64 {
-	return float64(j.tasksLeft()) * m.Of(taskResources(&j.spec))
+	return float64(j.tasksLeft()) * m.OfTask(taskResources(&j.spec))
 }
 
 // tasksLeft is the number of a job's unfinished tasks.
--- a/controller/scale_out_test.go
+++ b/controller/scale_out_test.go
@@ -195,3 +195,23 @@
 		l.autoscaler.backlog()
 	}
 }
+
+// A job that takes a machine's memory and hardly any cores was counted as fitting into any room that running tasks free, and
+// no machine was ever requested for it while batch tasks ran.
+func TestTasksOfMemoryAloneAreScaledOutFor(t *testing.T) {
+	c, l, running := newLeadingCore(t)
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, BootS: 30, Zones: []string{"a"}}})
+	running.attempts[0] = &attempt{job: running, machine: l.machine("i-1"), phase: attemptRunning, runningSince: c.now}
+	running.state.Start(0)
+	running.state.Start(1)
+	spec := wire.Job{ID: "req-000099", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: 0.5e-18, MemoryGB: 60}
+	l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+	tasks := 0
+	for _, d := range l.autoscaler.backlog() {
+		tasks += len(d.Tasks)
+	}
+	if tasks != 2 {
+		t.Errorf("%d tasks need machines while one core becomes free, want 2", tasks)
+	}
+}
--- a/controller/watch_cache.go
+++ b/controller/watch_cache.go
@@ -273,19 +273,31 @@
 	}
 }
 
-// setTypes replaces the machine types and derives measure from them: one GPU counts as much as its share of the cores
-// of all machine types with GPUs.
+// setTypes replaces the machine types and derives measure from them.
 func (c *Core) setTypes(types []wire.MachineType) {
 	clear(c.types)
-	var all scheduler.Resources
 	for _, t := range types {
 		c.types[t.Name] = t
+	}
+	c.measure = measureOf(types)
+}
+
+// measureOf derives a measure from the machine types: one GPU counts as much as its share of the cores of all types with
+// GPUs, and one GB of memory as much as its share of the cores of all types.
+func measureOf(types []wire.MachineType) scheduler.Measure {
+	var all, withGPUs scheduler.Resources
+	for _, t := range types {
+		all = all.Add(machineCapacity(t), 1)
 		if t.GPUs > 0 {
-			all = all.Add(machineCapacity(t), 1)
+			withGPUs = withGPUs.Add(machineCapacity(t), 1)
 		}
 	}
-	c.measure = 0
-	if all.GPUs > 0 {
-		c.measure = scheduler.Measure(all.CPUs / all.GPUs)
+	var m scheduler.Measure
+	if withGPUs.GPUs > 0 {
+		m.CoresPerGPU = withGPUs.CPUs / withGPUs.GPUs
+	}
+	if all.MemoryGB > 0 {
+		m.CoresPerGB = all.CPUs / all.MemoryGB
 	}
+	return m
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -37,7 +37,7 @@
 	var out []*Demand
 	slices.SortStableFunc(ds, func(a, b *Demand) int { return cmp.Compare(b.agedSeconds(), a.agedSeconds()) })
 	for _, d := range ds {
-		n, size := len(d.Tasks), d.Measure.Of(d.TaskResources)
+		n, size := len(d.Tasks), d.Measure.OfTask(d.TaskResources)
 		if d.Aged && urgencyTier(d) > 0 && !d.Gang && size > 0 {
 			n = min(n, max(TasksWithin(reserve, size, n), 1-boolToInt(d.Started)))
 			reserve -= float64(n) * size
--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -36,10 +36,15 @@
 	return tasks
 }
 
-// Measure converts resources of different kinds into one size, in cores, by the dominant
-// resource. Its value is the number of cores that count as much as one GPU; it is 0 where
-// there are no GPUs, and then only cores count.
-type Measure float64
+// Measure converts resources of different kinds into one size, in cores, by the dominant resource.
+type Measure struct {
+	CoresPerGPU float64 // cores that count as much as one GPU; 0: there are no GPUs
+	CoresPerGB  float64 // cores that count as much as one GB of the memory of a task
+}
+
+// Of returns the size of a machine or of free resources, by cores and GPUs.
+func (m Measure) Of(r Resources) float64 { return math.Max(r.CPUs, r.GPUs*m.CoresPerGPU) }
 
-// Of returns the size of r in cores.
-func (m Measure) Of(r Resources) float64 { return math.Max(r.CPUs, r.GPUs*float64(m)) }
+// OfTask returns the size of what a task takes. Memory counts too: a task that takes a machine's memory and hardly any
+// cores leaves no room for others.
+func (m Measure) OfTask(r Resources) float64 { return math.Max(m.Of(r), r.MemoryGB*m.CoresPerGB) }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -378,11 +378,11 @@
 	ms[1].Shard = ms[0].Shard
 	d := demand(1, 4)
 	d.TaskResources.GPUs = 1
-	for measure, want := range map[Measure]*Machine{0: ms[0], 6: ms[1]} {
+	for measure, want := range map[Measure]*Machine{{}: ms[0], {CoresPerGPU: 6}: ms[1]} {
 		d.Measure = measure
 		p := Place(slices.Clone(ms), d)
 		if len(p) != 1 || p[0].Machine != want {
-			t.Errorf("%v cores to a GPU: %+v", measure, p)
+			t.Errorf("%v cores to a GPU: %+v", measure.CoresPerGPU, p)
 		}
 		p[0].Machine.Free = p[0].Machine.Free.Add(d.TaskResources, 1)
 	}
@@ -464,3 +464,15 @@
 		}
 	}
 }
+
+// A large job whose tasks take memory and no cores used none of the reserve of aged jobs, and was placed before all others
+// for as long as it had tasks.
+func TestAgedTasksOfMemoryAloneStayWithinTheReserve(t *testing.T) {
+	d := demand(100, 0)
+	d.TaskResources.MemoryGB, d.Measure = 60, Measure{CoresPerGB: 0.25}
+	d.Rank, d.Aged, d.AgeS, d.Started = 2, true, 200, true
+	ordered := OrderWithAging([]*Demand{d}, 40)
+	if len(ordered) != 2 || len(ordered[0].Tasks) != 2 || !ordered[0].Aged || ordered[1].Aged {
+		t.Errorf("a reserve of 40 cores is split into %d demands, the first of %d tasks; each task is worth 15 cores", len(ordered), len(ordered[0].Tasks))
+	}
+}
