Resources.Fits is defined for amounts near zero and for amounts that are no numbers

Seen (TestFitsOfExtremeAmounts on the code before): on a machine without free cores 5e-7 cores fit twice and 0.5e-18 cores as often as wanted, so such tasks are placed on full machines, whose workers refuse them; a job of an unknown team that takes less than a millionth of each resource is accepted instead of getting 422; infinite or NaN amounts, which machine types from the cloud may have, fit the least integer of times, which is neither "none" nor "some", and PlanRentals then adds machines without end.

Cause: the tolerance for rounding errors was added to the free amount whatever is needed, and the quotient was converted to an int also where it is not a number.

Change: what is free counts only above the tolerance, and timesFitting never returns NaN. For needs above twice the tolerance and finite amounts the results are those of before.

Measured: the new test fails before and passes now; the tests of scheduler and controller pass.

--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -8,20 +8,33 @@
 // epsilon absorbs rounding errors in comparisons of resource amounts.
 const epsilon = 1e-6
 
+// maxFits is the largest number that Fits returns.
+const maxFits = 1 << 20
+
 // Add returns r + n times o.
 func (r Resources) Add(o Resources, n float64) Resources {
 	return Resources{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.MemoryGB + n*o.MemoryGB}
 }
 
-// Fits returns how many times d fits into r.
+// Fits returns how many times d fits into r, at most maxFits.
 func (r Resources) Fits(d Resources) int {
-	n := math.Inf(1)
-	for _, p := range [...][2]float64{{r.CPUs, d.CPUs}, {r.GPUs, d.GPUs}, {r.MemoryGB, d.MemoryGB}} {
-		if p[1] > 0 {
-			n = math.Min(n, math.Floor((p[0]+epsilon)/p[1]))
-		}
+	times := min(timesFitting(r.CPUs, d.CPUs), timesFitting(r.GPUs, d.GPUs), timesFitting(r.MemoryGB, d.MemoryGB), maxFits)
+	return int(times)
+}
+
+// timesFitting returns how many times need fits into free, not rounded: infinity if nothing is needed, and never NaN. An
+// amount of free that may be a rounding error is no room, however little is needed.
+func timesFitting(free, need float64) float64 {
+	if need == 0 {
+		return math.Inf(1)
+	}
+	if !(free > epsilon) {
+		return 0
+	}
+	if times := (free + epsilon) / need; times > 0 {
+		return times
 	}
-	return int(math.Max(0, math.Min(n, 1<<20)))
+	return 0
 }
 
 // TasksWithin returns how many of a number of tasks fit into room, if each has the given size. The ratio of room to size
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -476,3 +476,28 @@
 		t.Errorf("a reserve of 40 cores is split into %d demands, the first of %d tasks; each task is worth 15 cores", len(ordered), len(ordered[0].Tasks))
 	}
 }
+
+// Any number of tasks that take less than the tolerance for rounding errors fitted on a full machine, and into the limit of
+// a team without one. Amounts that are no numbers fitted a negative number of times, and planning rentals for them did not
+// end.
+func TestFitsOfExtremeAmounts(t *testing.T) {
+	inf, nan := math.Inf(1), math.NaN()
+	for _, c := range []struct {
+		free, need float64
+		want       int
+	}{
+		{0, 0, maxFits}, {0, 5e-7, 0}, {0, 0.5e-18, 0}, {1e-9, math.SmallestNonzeroFloat64, 0}, {-4, 1e-12, 0},
+		{16, math.SmallestNonzeroFloat64, maxFits}, {16, 0.5e-18, maxFits}, {16, 4, 4}, {3.9999999, 4, 1}, {16, 1e12, 0},
+		{inf, 1e12, maxFits}, {inf, inf, 0}, {inf, 0, maxFits}, {nan, 1, 0}, {1, nan, 0}, {16, -1, 0}, {16, inf, 0},
+	} {
+		for _, fits := range []int{
+			Resources{CPUs: c.free, GPUs: 1, MemoryGB: 1}.Fits(Resources{CPUs: c.need}),
+			Resources{CPUs: 1, GPUs: c.free, MemoryGB: 1}.Fits(Resources{GPUs: c.need}),
+			Resources{CPUs: 1, GPUs: 1, MemoryGB: c.free}.Fits(Resources{MemoryGB: c.need}),
+		} {
+			if fits != c.want {
+				t.Errorf("%v fits %d times into %v, want %d", c.need, fits, c.free, c.want)
+			}
+		}
+	}
+}
