--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -478,8 +478,8 @@
 }
 
 // Any number of tasks that take less than the tolerance for rounding errors fitted on a full machine, and into the limit of
-// a team without one. Amounts that are no numbers fitted a negative number of times, and planning rentals for them did not
-// end.
+// an unknown team. Amounts that are no numbers fitted a negative number of times, and machines of which they are part were
+// requested although no task fits on them.
 func TestFitsOfExtremeAmounts(t *testing.T) {
 	inf, nan := math.Inf(1), math.NaN()
 	for _, c := range []struct {
