Seconds beyond the range of a duration give the longest duration, not the most negative one

Seen: a submission may have a deadline, an estimate or an image size up to 1e12, and the cloud's answers any boot time and age. A deadline of 1e11 s or more counted as 292 years ago, so that it took the place of the deadlines of the jobs that the job needs; a type that boots in 1e10 s was overdue as soon as it was requested, so that more machines of it were requested in every round; a listed machine with an age below 0 was known from a time in the future.

Cause: config.Seconds converted the product with a billion to an int64 whatever its size.

Change: Seconds saturates at 100 years, which leaves room for sums, and is 0 for NaN. Ages below 0 count as 0. The uptime in a peer's answer, the only other float that becomes a duration, has the same bound.

--- a/config/config.go
+++ b/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"strings"
@@ -148,8 +149,18 @@
 	return d
 }
 
-// Seconds converts a number of seconds from the settings into a duration.
-func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// maxDuration bounds the durations that Seconds returns, well below the longest one, so that sums of them don't overflow.
+const maxDuration = 100 * 365 * 24 * time.Hour
+
+// Seconds converts a number of seconds, as in settings and messages, into a duration. An amount beyond maxDuration, of
+// either sign, gives the nearest duration within, and one that is not a number gives 0.
+func Seconds(s float64) time.Duration {
+	nanoseconds := s * float64(time.Second)
+	if math.IsNaN(nanoseconds) {
+		return 0
+	}
+	return time.Duration(max(-float64(maxDuration), min(nanoseconds, float64(maxDuration))))
+}
 
 // LoadPlatform reads and checks the platform's file. An invalid setting gives a *SettingError, prefixed with
 // the path of the file. A file that cannot be read gives the error of os.ReadFile, and a file that is not
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,10 +1,12 @@
 package config
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const validPlatform = `
@@ -147,3 +149,19 @@
 		}
 	}
 }
+
+// A number of seconds beyond the range of a duration became the most negative one: a deadline in 30,000 years was the most
+// urgent, and a machine type with a very long boot time was overdue at once.
+func TestSecondsBeyondTheRangeOfADuration(t *testing.T) {
+	for s, want := range map[float64]time.Duration{
+		0: 0, 1.5: 1500 * time.Millisecond, -2: -2 * time.Second, 86400: 24 * time.Hour, 1e-12: 0,
+		1e12: maxDuration, 1e300: maxDuration, math.Inf(1): maxDuration, -1e12: -maxDuration, math.Inf(-1): -maxDuration,
+	} {
+		if got := Seconds(s); got != want {
+			t.Errorf("%v seconds are %v, want %v", s, got, want)
+		}
+	}
+	if got := Seconds(math.NaN()); got != 0 {
+		t.Errorf("NaN seconds are %v, want 0", got)
+	}
+}
--- /dev/null
+++ b/controller/amounts_test.go
@@ -0,0 +1,53 @@
+package controller
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pumicefront/wire"
+)
+
+// Tests of amounts from outside that are valid or at least possible, and far from the usual ones.
+
+// A deadline beyond the range of a duration counted as the earliest of all, and took the place of the deadlines of the jobs
+// that the job needs.
+func TestDeadlineBeyondTheRangeOfADuration(t *testing.T) {
+	c, l, _ := newLeadingCore(t)
+	soon, never := 100.0, 1e11
+	for i, spec := range []wire.Job{
+		{ID: "req-000010", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, DeadlineS: &soon},
+		{ID: "req-000011", Kind: wire.KindArray, Priority: "standard", Tasks: 1, CPUs: 1, DeadlineS: &never, Needs: []string{"req-000010"}},
+	} {
+		c.watchCache.versions[headerKey(spec.ID)] = uint64(i + 1)
+		c.headerChanged(spec.ID, &headerRecord{Job: spec, AcceptedMS: c.now.UnixMilli(), TasksPerChunk: 10})
+	}
+	if due := l.jobs["req-000010"].deadline; due.fromJob == nil || due.fromJob.ID != "req-000010" {
+		t.Errorf("the deadline of a job that is due in 100 s is %v, inherited from one that is due in 3,000 years", due.at())
+	}
+}
+
+// A machine of a type with a boot time beyond the range of a duration counted as overdue from the start, so that one more
+// was requested in every round.
+func TestBootTimeBeyondTheRangeOfADuration(t *testing.T) {
+	_, l, _ := newLeadingCore(t)
+	m := l.machine("i-1")
+	for _, bootS := range []float64{1e10, 1e12} {
+		if l.overdue(m, wire.MachineType{Name: "t", BootS: bootS}) {
+			t.Errorf("a machine that has just been requested is overdue although its type boots in %v s", bootS)
+		}
+	}
+}
+
+// The age of a listed machine is not trusted beyond what a duration can hold, and a negative age would put its request into
+// the future.
+func TestListedMachineOfExtremeAge(t *testing.T) {
+	c, l, _ := newLeadingCore(t)
+	for id, ageS := range map[string]float64{"i-1": 1e300, "i-2": math.Inf(1), "i-3": -1e300, "i-4": math.NaN(), "i-5": -5, "i-6": 5} {
+		l.autoscaler.handleListed(wire.Machine{ID: id, Type: "t", Zone: "a", State: wire.MachineBooting, AgeS: ageS})
+		known := l.machines[id].knownSince
+		if known.After(c.now) || c.now.Sub(known) > 101*365*24*time.Hour {
+			t.Errorf("a machine listed with an age of %v s is known since %v", ageS, known)
+		}
+	}
+}
--- a/controller/cloud_listing.go
+++ b/controller/cloud_listing.go
@@ -95,7 +95,7 @@
 	m, known := s.machines[it.ID]
 	if !known {
 		m = s.machine(it.ID)
-		m.knownSince = s.c.now.Add(-config.Seconds(it.AgeS))
+		m.knownSince = s.c.now.Add(-config.Seconds(max(it.AgeS, 0)))
 		s.c.log(slog.LevelInfo, "machine found in the list", "machine", it.ID, "type", it.Type, "state", it.State)
 	}
 	if m.expectedInListSince.IsZero() {
--- a/controller/peer_lease.go
+++ b/controller/peer_lease.go
@@ -58,6 +58,10 @@
 // lease's duration, and 1/500 of it, twice clockDrift, since this controller's clock may run fast.
 const peerLeaseHoldOff = peerLeaseDuration + peerLeaseDuration/500
 
+// maxPeerUptimeMS bounds the time in milliseconds for which a peer says that its process has run: 100 years, which a
+// duration can hold.
+const maxPeerUptimeMS = 100 * 365 * 24 * 3600 * 1000
+
 // requestPeerLease requests a peer lease when the last successful renewal is older than a third of the
 // lease's time to live, or the copy of the headers is older than half of the cancellation window.
 func (l *leader) requestPeerLease() {
@@ -140,7 +144,7 @@
 			r.unknownCancellation = true // a machine may run a task of this job, which recovery has not loaded yet
 		}
 	}
-	up := time.Duration(float64(a.UpMs) * (1 - clockDrift) * float64(time.Millisecond))
+	up := time.Duration(float64(min(a.UpMs, maxPeerUptimeMS)) * (1 - clockDrift) * float64(time.Millisecond))
 	if started := c.now.Add(-up); started.After(r.latestPeerStart) {
 		r.latestPeerStart = started
 	}
