Many attempts on one machine no longer hold up a round or a recovery

Seen (trial on the code before, 30 machines of 16 cores, one array of 100,000 tasks of 0.5e-18 cores and no memory): one placement round takes 56 to 60 s of a whole core, since all tasks are placed on one machine and each of them copies the machine's ordered list of attempts. A leader with 12 to 18% of a core is not back within its lease. A leader that restores such attempts from their records would need as long.

Change: the list is built when it is read, from the map of attempts, and dropped when an attempt is added or removed; a list that was read stays as it is. listsAttempt builds the key of an attempt once instead of once for each task of a heartbeat.

The tests of the controller pass.

--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -51,3 +51,26 @@
 		}
 	}
 }
+
+// Adding an attempt to a machine copied all that were there: 100,000 tasks that take next to nothing held up a placement
+// round, and would hold up the recovery of a later leader, for a minute.
+func TestManyAttemptsOnOneMachine(t *testing.T) {
+	_, l, _ := newLeadingCore(t)
+	spec := wire.Job{ID: "req-000099", Kind: wire.KindArray, Priority: "standard", Tasks: wire.MaxTasks, CPUs: 0.5e-18}
+	j, m := l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: wire.MaxTasks}), l.machine("i-1")
+	begun := time.Now()
+	for task := range spec.Tasks {
+		placeAttempt(l, j, task, m)
+	}
+	for i, a := range m.attemptsInOrder() {
+		if a.task != i {
+			t.Fatalf("task %d is at position %d", a.task, i)
+		}
+	}
+	for _, a := range m.attemptsInOrder() {
+		m.remove(a)
+	}
+	if took := time.Since(begun); took > 10*time.Second || len(m.attemptsInOrder()) > 0 {
+		t.Errorf("adding and removing %d attempts took %v, want a few hundred milliseconds; %d are left", spec.Tasks, took, len(m.attemptsInOrder()))
+	}
+}
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -16,7 +16,7 @@
 // heartbeatCommands returns the commands for the answer to a machine's heartbeat.
 func (l *leader) heartbeatCommands(m *machine) []wire.Command {
 	var commands []wire.Command
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		if a.stopping {
 			commands = append(commands, wire.Command{Op: wire.OpStop, Task: a.taskID(), Attempt: a.number, GraceS: a.graceS})
 		} else if a.phase < attemptReported && l.mayRun(a) {
@@ -156,7 +156,7 @@
 		l.failureDetector.applyHeartbeat(m, &r.Report)
 		if r.Status == http.StatusConflict && r.Report.Token <= l.token {
 			// Refused because of an older token or session: the run commands that are still valid are sent again.
-			m.pendingRuns = append(m.pendingRuns, m.attemptsInOrder...)
+			m.pendingRuns = append(m.pendingRuns, m.attemptsInOrder()...)
 			l.enqueueForSending(m)
 		}
 	})
--- a/controller/consolidation.go
+++ b/controller/consolidation.go
@@ -39,9 +39,9 @@
 		best.consolidationFailedAt = s.c.now
 		return
 	}
-	s.c.log(slog.LevelInfo, "emptying machine", "machine", best.id, "tasks", len(best.attemptsInOrder))
+	s.c.log(slog.LevelInfo, "emptying machine", "machine", best.id, "tasks", len(best.attemptsInOrder()))
 	best.consolidating = true
-	for _, a := range best.attemptsInOrder {
+	for _, a := range best.attemptsInOrder() {
 		s.stop(a, saveGraceS(&a.job.spec))
 	}
 	s.schedulePlacement()
@@ -51,7 +51,7 @@
 // Among equal ones it returns the first by ID.
 func (s *autoscaler) costliestConsolidatable() *machine {
 	var best *machine
-	costPerReplica := func(m *machine) float64 { return s.price(m) / float64(len(m.attemptsInOrder)) }
+	costPerReplica := func(m *machine) float64 { return s.price(m) / float64(len(m.attemptsInOrder())) }
 	for _, m := range s.machinesByName {
 		if s.consolidatable(m) && (best == nil || costPerReplica(m) > costPerReplica(best)) {
 			best = m
@@ -64,11 +64,11 @@
 // more than half of it, and that a cheaper type would suffice for. Where no cheaper type exists, the free room on the
 // machine serves as headroom for further replicas, so the machine is kept, unless a new machine boots in time for them.
 func (s *autoscaler) consolidatable(m *machine) bool {
-	if !s.usable(m) || len(m.attemptsInOrder) == 0 || len(m.unknownAttempts) > 0 || s.c.now.Sub(m.consolidationFailedAt) < minReplicaRuntime {
+	if !s.usable(m) || len(m.attemptsInOrder()) == 0 || len(m.unknownAttempts) > 0 || s.c.now.Sub(m.consolidationFailedAt) < minReplicaRuntime {
 		return false
 	}
 	used := 0.0
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		if a.job.spec.Kind != wire.KindService || a.phase < attemptRunning || a.stopping || s.c.now.Sub(a.runningSince) < minReplicaRuntime ||
 			!s.fitsCheaper(&a.job.spec, m) && s.headroomShare(&a.job.spec) > 0 {
 			return false
@@ -90,11 +90,11 @@
 func (s *autoscaler) fitsElsewhere(m *machine) bool {
 	machines := slices.DeleteFunc(s.schedulerView(true), func(o *scheduler.Machine) bool { return o.ID == m.id })
 	moved := map[*job][]*attempt{}
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		moved[a.job] = append(moved[a.job], a)
 	}
 	inUse := slices.DeleteFunc(slices.Clone(machines), func(o *scheduler.Machine) bool {
-		return o.Virtual || len(s.machines[o.ID].attemptsInOrder) == 0
+		return o.Virtual || len(s.machines[o.ID].attemptsInOrder()) == 0
 	})
 	for _, j := range s.jobsByAcceptance {
 		movedAttempts := moved[j]
--- a/controller/consolidation_test.go
+++ b/controller/consolidation_test.go
@@ -55,7 +55,7 @@
 		l.autoscaler.consolidate()
 		stopping := 0
 		for _, m := range l.machines {
-			for _, a := range m.attemptsInOrder {
+			for _, a := range m.attemptsInOrder() {
 				if a.stopping {
 					stopping++
 				}
--- a/controller/draining.go
+++ b/controller/draining.go
@@ -7,7 +7,7 @@
 // drain stops tasks on a machine that the cloud reclaims in leftS seconds: service replicas, which lose no work, tasks that
 // can save a checkpoint, and tasks that are not expected to end in time. They restart elsewhere that much sooner.
 func (l *leader) drain(m *machine, leftS float64) {
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		j := &a.job.spec
 		if j.Kind == wire.KindService || j.CheckpointS > 0 || l.remainingS(a) > leftS {
 			l.stop(a, saveGraceS(j))
--- a/controller/failure_detector.go
+++ b/controller/failure_detector.go
@@ -186,7 +186,7 @@
 // canMove reports whether the tasks of the highest priority on a machine have room elsewhere now. If
 // not, releasing the machine early gains nothing over waiting until its lease expires.
 func (f *failureDetector) canMove(m *machine, machines []*scheduler.Machine) bool {
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		d := f.c.demandOf(&a.job.spec)
 		d.Tasks, d.RoomInTeam = []int{a.task}, 1
 		if d.Rank == 0 && len(scheduler.Place(machines, d)) == 0 {
@@ -222,7 +222,7 @@
 		if !m.up || m.leaseExpired || !suspected {
 			continue
 		}
-		for _, a := range m.attemptsInOrder {
+		for _, a := range m.attemptsInOrder() {
 			if d := f.c.demandOf(&a.job.spec); d.Service && !a.job.cancelled {
 				d.Tasks, d.RoomInTeam = []int{a.task}, 1
 				demands = append(demands, d)
--- a/controller/failure_detector_test.go
+++ b/controller/failure_detector_test.go
@@ -162,7 +162,7 @@
 		l.authority, l.failureDetector.listening.lastObserved = c.now.Add(time.Second), c.now
 		for _, m := range machines[1:] {
 			l.failureDetector.applyHeartbeat(m, &wire.Report{Machine: m.id, Type: "t", Zone: "a", Session: 1, Seq: 2, Token: 7,
-				Tasks: []wire.Task{{ID: m.attemptsInOrder[0].taskID(), Attempt: 1, State: wire.TaskRunning}}})
+				Tasks: []wire.Task{{ID: m.attemptsInOrder()[0].taskID(), Attempt: 1, State: wire.TaskRunning}}})
 		}
 		machines[0].lastCommandUnanswered = true
 		l.failureDetector.releaseFailed()
--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -79,15 +79,20 @@
 // the token cannot be raised while the state service is unavailable. A task that the heartbeat
 // lists does not prevent the renewal, because its stop command is sent in the same answer.
 func (f *failureDetector) mustNotRenewLease(m *machine, heartbeat *wire.Report) bool {
-	for _, a := range m.attemptsInOrder {
-		if a.job.cancelled && a.phase >= attemptSent && a.token >= f.token && !f.c.now.Before(a.job.cancelledAt.Add(f.c.cancellationWindow())) &&
-			!slices.ContainsFunc(heartbeat.Tasks, func(t wire.Task) bool { return t.ID == a.taskID() && t.Attempt == a.number }) {
+	for _, a := range m.attemptsInOrder() {
+		inDoubt := a.job.cancelled && a.phase >= attemptSent && a.token >= f.token && !f.c.now.Before(a.job.cancelledAt.Add(f.c.cancellationWindow()))
+		if inDoubt && !listsAttempt(heartbeat, a.key()) {
 			return true
 		}
 	}
 	return false
 }
 
+// listsAttempt reports whether a heartbeat lists an attempt.
+func listsAttempt(heartbeat *wire.Report, k taskKey) bool {
+	return slices.ContainsFunc(heartbeat.Tasks, func(t wire.Task) bool { return t.ID == k.task && t.Attempt == k.attempt })
+}
+
 // applyHeartbeat updates a machine from the status in its worker's heartbeat.
 func (f *failureDetector) applyHeartbeat(m *machine, heartbeat *wire.Report) {
 	c := f.c
@@ -130,7 +135,7 @@
 			delete(m.runToken, k)
 		}
 	}
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		if !listed[a.key()] {
 			f.attemptMissing(a)
 		}
--- a/controller/lease_expiry.go
+++ b/controller/lease_expiry.go
@@ -53,7 +53,7 @@
 			if len(m.attempts) > 0 {
 				f.c.log(slog.LevelInfo, "machine lost", "machine", m.id, "tasks", len(m.attempts))
 			}
-			for _, a := range m.attemptsInOrder {
+			for _, a := range m.attemptsInOrder() {
 				f.removeAttempt(a, reduction.Reset, proofLeaseExpired)
 			}
 		}
@@ -62,7 +62,7 @@
 				f.raiseToken("ended attempts to forget")
 			}
 		}
-		for _, a := range m.attemptsInOrder {
+		for _, a := range m.attemptsInOrder() {
 			if a.stopping && a.phase < attemptReported && now.Sub(a.stoppedAt) > stoppedAttemptRaiseDelay && a.token >= f.token {
 				f.raiseToken("stopped attempt in doubt")
 			}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,7 +43,7 @@
 	nextProbeAt           time.Time // when to probe again after an unanswered command
 
 	attempts        map[taskKey]*attempt
-	attemptsInOrder []*attempt            // the same ordered by job and task; copied on each change, so that it can change during an iteration
+	inOrder         []*attempt            // see attemptsInOrder; nil: to be built
 	snapshot        *scheduler.Machine    // the machine as the scheduler uses it; nil: to be rebuilt
 	runToken        map[taskKey]uint64    // highest fencing token that each attempt's run command was sent with
 	endedAttempts   map[taskKey]time.Time // when a heartbeat first reported the attempt as exited
@@ -59,18 +60,27 @@
 // add adds an attempt to its machine. The attempt stays there until it is proved to have ended.
 func (m *machine) add(a *attempt) {
 	m.attempts[a.key()] = a
-	at, _ := slices.BinarySearchFunc(m.attemptsInOrder, a, func(x, y *attempt) int {
-		return cmp.Or(cmp.Compare(x.job.id, y.job.id), cmp.Compare(x.task, y.task))
-	})
-	m.attemptsInOrder = slices.Insert(slices.Clone(m.attemptsInOrder), at, a)
-	m.snapshot = nil
+	m.attemptsChanged()
 }
 
 // remove removes an attempt that has ended from its machine.
 func (m *machine) remove(a *attempt) {
 	delete(m.attempts, a.key())
-	m.attemptsInOrder = slices.DeleteFunc(slices.Clone(m.attemptsInOrder), func(o *attempt) bool { return o == a })
-	m.snapshot = nil
+	m.attemptsChanged()
+}
+
+// attemptsChanged drops what is derived from the attempts.
+func (m *machine) attemptsChanged() { m.inOrder, m.snapshot = nil, nil }
+
+// attemptsInOrder returns the attempts ordered by job and task. The slice stays as it is when attempts are added or
+// removed, so that they can be during an iteration.
+func (m *machine) attemptsInOrder() []*attempt {
+	if m.inOrder == nil {
+		m.inOrder = slices.SortedFunc(maps.Values(m.attempts), func(a, b *attempt) int {
+			return cmp.Or(cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.task, b.task), cmp.Compare(a.number, b.number))
+		})
+	}
+	return m.inOrder
 }
 
 // machine returns the table entry of a machine and creates it if there is none.
--- a/controller/placement_test.go
+++ b/controller/placement_test.go
@@ -31,7 +31,7 @@
 	c.now = l.placementDueAt
 	l.runPlacementRound()
 	stopping := 0
-	for _, a := range up.attemptsInOrder {
+	for _, a := range up.attemptsInOrder() {
 		if a.stopping {
 			stopping++
 		}
--- a/controller/scale_in.go
+++ b/controller/scale_in.go
@@ -86,7 +86,7 @@
 		return
 	}
 	s.released[id] = s.c.now
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		s.removeAttempt(a, reduction.Reset, proofMachineReleased)
 	}
 	delete(s.machines, id)
--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -62,7 +62,7 @@
 			s.Free = scheduler.Resources{} // the resources that the attempt uses are unknown
 		}
 	}
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		l.accountAttempt(s, a)
 	}
 	return s
--- a/controller/spreading.go
+++ b/controller/spreading.go
@@ -120,7 +120,7 @@
 		return nil
 	}
 	var images map[string]bool
-	for _, a := range m.attemptsInOrder {
+	for _, a := range m.attemptsInOrder() {
 		if a.needsFetch && a.starting() {
 			if images == nil {
 				images = map[string]bool{}
--- a/controller/spreading_plan.go
+++ b/controller/spreading_plan.go
@@ -102,7 +102,7 @@
 func (s *spreading) stoppedByEarlierLeaders() int {
 	count := 0
 	for _, m := range s.machinesByName {
-		for _, a := range m.attemptsInOrder {
+		for _, a := range m.attemptsInOrder() {
 			if a.stoppedByEarlierLeader() {
 				count++
 			}
@@ -177,7 +177,7 @@
 		if m.Share() <= hotShare {
 			continue
 		}
-		for _, a := range s.machines[m.ID].attemptsInOrder {
+		for _, a := range s.machines[m.ID].attemptsInOrder() {
 			if reason, cost := tolerances.check(a); reason == balance.Movable {
 				m.Tasks = append(m.Tasks, a.movableTask(cost))
 			}
--- a/controller/spreading_status.go
+++ b/controller/spreading_status.go
@@ -77,7 +77,7 @@
 		for image := range m.images {
 			survey.AddImage(image, hot)
 		}
-		for _, a := range m.attemptsInOrder {
+		for _, a := range m.attemptsInOrder() {
 			survey.AddTask(m.id, hot, a.job.spec.Team, a.job.spec.Image, s.c.measure.Of(a.job.terms.TaskResources))
 		}
 	}
@@ -91,11 +91,11 @@
 // countWithoutDestination finds those without a destination.
 func (t *moveTolerances) machineStatus(m *balance.Machine, hotShare float64, listMovable bool) balance.MachineStatus {
 	machine := t.machines[m.ID]
-	status := balance.MachineStatus{ID: m.ID, Zone: machine.zone, Share: m.Share(), Hot: m.Share() > hotShare, Tasks: len(machine.attemptsInOrder)}
+	status := balance.MachineStatus{ID: m.ID, Zone: machine.zone, Share: m.Share(), Hot: m.Share() > hotShare, Tasks: len(machine.attemptsInOrder())}
 	if !status.Hot {
 		return status
 	}
-	for _, a := range machine.attemptsInOrder {
+	for _, a := range machine.attemptsInOrder() {
 		reason, cost := t.check(a)
 		if reason == balance.Movable {
 			status.Movable++
--- a/controller/spreading_test.go
+++ b/controller/spreading_test.go
@@ -217,7 +217,7 @@
 		t.Error("a task with an active attempt is demanded again")
 	}
 	var tasks []wire.Task
-	for _, a := range from.attemptsInOrder {
+	for _, a := range from.attemptsInOrder() {
 		state, exitReason := wire.TaskRunning, ""
 		if a.job == j {
 			state, exitReason = wire.TaskExited, wire.ExitReasonStopped
--- a/controller/zone_recovery.go
+++ b/controller/zone_recovery.go
@@ -274,7 +274,7 @@
 		if m.zone != name {
 			continue
 		}
-		for _, a := range m.attemptsInOrder {
+		for _, a := range m.attemptsInOrder() {
 			if !a.starting() {
 				continue
 			}
