A machine has a limited number of task slots, and a single job does not get all of them

Seen (trial on the code before, 30 machines): all 100,000 tasks of an array of 0.5e-18 cores and no memory are placed on one machine. Its worker lists them in every report; the protocol limits a body to 64 KiB, and a controller reads at most 256 KiB of a report and answers 400 to a longer one (by reading), so the machine loses its lease with the tasks of all other jobs on it, again and again.

Cause: the number of tasks on a machine was limited by the amounts that they take alone.

Change: task slots are a resource like cores. A machine has 600, which a report of that many tasks with the longest ids fits into; attempts that have ended and are still listed take one each. One job takes at most 500 on a machine, its ended attempts included. Where 300 ended attempts are listed the fencing token is raised without the usual delay, so that the worker may be told to forget them. Quotas don't limit slots.

Measured: TestTasksOfNextToNothingLeaveSlotsToOthers, TestReportOfAllSlotsFitsIntoABody.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -26,7 +26,7 @@
 	for k := range m.unknownAttempts {
 		commands = append(commands, wire.Command{Op: wire.OpStop, Task: k.task, Attempt: k.attempt})
 	}
-	for k := range m.endedAttempts {
+	for k := range m.endedAttempts.reportedAt {
 		if l.mayForget(m, k) {
 			commands = append(commands, wire.Command{Op: wire.OpForget, Task: k.task, Attempt: k.attempt})
 		}
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -44,6 +44,7 @@
 		for _, a := range j.attempts {
 			d.InZone[a.machine.zone]++
 		}
+		l.limitSlotsOfJob(d, j)
 		ds = append(ds, d)
 	}
 	return ds
--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -129,9 +129,9 @@
 		listed[k] = true
 		f.applyTaskStatus(m, k, t)
 	}
-	for k := range m.endedAttempts {
+	for k := range m.endedAttempts.reportedAt {
 		if !listed[k] {
-			delete(m.endedAttempts, k)
+			m.endedAttempts.remove(k)
 			delete(m.runToken, k)
 		}
 	}
@@ -157,9 +157,7 @@
 		}
 		return
 	}
-	if _, seen := m.endedAttempts[k]; !seen {
-		m.endedAttempts[k] = f.c.now
-	}
+	m.endedAttempts.add(k, f.c.now)
 	if a != nil {
 		f.attemptEnded(a, t.ExitReason)
 		return
--- a/controller/job.go
+++ b/controller/job.go
@@ -59,11 +59,11 @@
 }
 
 func taskResources(j *wire.Job) scheduler.Resources {
-	return scheduler.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+	return scheduler.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Slots: 1}
 }
 
 func machineCapacity(t wire.MachineType) scheduler.Resources {
-	return scheduler.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+	return scheduler.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, Slots: slotsPerMachine}
 }
 
 // demandOf returns a demand with the fields that follow from the job's specification.
--- a/controller/lease_expiry.go
+++ b/controller/lease_expiry.go
@@ -57,8 +57,9 @@
 				f.removeAttempt(a, reduction.Reset, proofLeaseExpired)
 			}
 		}
-		for k, since := range m.endedAttempts {
-			if m.runToken[k] >= f.token && now.Sub(since) > endedAttemptRaiseDelay {
+		crowded := m.endedAttempts.len() >= crowdedEndedAttempts
+		for k, since := range m.endedAttempts.reportedAt {
+			if m.runToken[k] >= f.token && (crowded || now.Sub(since) > endedAttemptRaiseDelay) {
 				f.raiseToken("ended attempts to forget")
 			}
 		}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -43,15 +43,15 @@
 	nextProbeAt           time.Time // when to probe again after an unanswered command
 
 	attempts        map[taskKey]*attempt
-	inOrder         []*attempt            // see attemptsInOrder; nil: to be built
-	snapshot        *scheduler.Machine    // the machine as the scheduler uses it; nil: to be rebuilt
-	runToken        map[taskKey]uint64    // highest fencing token that each attempt's run command was sent with
-	endedAttempts   map[taskKey]time.Time // when a heartbeat first reported the attempt as exited
-	unknownAttempts map[taskKey]bool      // running attempts that are not on record
-	images          map[string]bool       // images that the machine is known to have cached
-	imagesAnnounced int                   // how many of the images the other controllers were last notified of; -1: not notified yet
-	failedJobs      map[string]bool       // jobs with a task that failed on this machine
-	pendingRuns     []*attempt            // attempts whose run commands are to be sent directly
+	inOrder         []*attempt         // see attemptsInOrder; nil: to be built
+	snapshot        *scheduler.Machine // the machine as the scheduler uses it; nil: to be rebuilt
+	runToken        map[taskKey]uint64 // highest fencing token that each attempt's run command was sent with
+	endedAttempts   endedAttempts
+	unknownAttempts map[taskKey]bool // running attempts that are not on record
+	images          map[string]bool  // images that the machine is known to have cached
+	imagesAnnounced int              // how many of the images the other controllers were last notified of; -1: not notified yet
+	failedJobs      map[string]bool  // jobs with a task that failed on this machine
+	pendingRuns     []*attempt       // attempts whose run commands are to be sent directly
 	pendingStops    []wire.Command
 	queuedToSend    bool // in leader.toSend
 	callInFlight    bool // a direct command waits for its answer
@@ -89,7 +89,7 @@
 	if m == nil {
 		m = &machine{
 			id: id, shard: scheduler.ShardOf(id, l.c.members()), knownSince: l.c.now, idleSince: l.c.now, leaseRenewedAt: l.elected,
-			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, endedAttempts: map[taskKey]time.Time{},
+			attempts: map[taskKey]*attempt{}, runToken: map[taskKey]uint64{}, endedAttempts: newEndedAttempts(),
 			unknownAttempts: map[taskKey]bool{}, images: map[string]bool{}, failedJobs: map[string]bool{},
 		}
 		if h := l.c.machineHints[id]; h != nil {
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -75,7 +75,7 @@
 		if placed < want {
 			// No machine has room for one more of these tasks, so demands with the same key need not be tried. This
 			// doesn't follow if the demand has constraints that are not part of the key.
-			unplaceable[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread
+			unplaceable[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread && d.OnMachine == nil
 			l.preempt(machines, d, want-placed, excess)
 			if d.Aged && placed == 0 {
 				scheduler.ReserveFor(machines, d)
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -23,7 +23,7 @@
 
 // quotaOf returns the quota that follows from a team's settings. An unspecified limit is infinite. So is a team's
 // guarantee for a resource without a guarantee or a limit in its settings, if the team has a guarantee for another
-// resource. Memory is never restricted.
+// resource. Memory and task slots are never restricted.
 func quotaOf(t config.Team) quota {
 	guaranteed := t.CPUs > 0 || t.GPUs > 0
 	guarantee := func(amount, maximum float64) float64 {
@@ -39,15 +39,15 @@
 		return maximum
 	}
 	return quota{
-		guarantee: scheduler.Resources{CPUs: guarantee(t.CPUs, t.CPUsMax), GPUs: guarantee(t.GPUs, t.GPUsMax), MemoryGB: math.Inf(1)},
-		limit:     scheduler.Resources{CPUs: limit(t.CPUsMax), GPUs: limit(t.GPUsMax), MemoryGB: math.Inf(1)},
+		guarantee: scheduler.Resources{CPUs: guarantee(t.CPUs, t.CPUsMax), GPUs: guarantee(t.GPUs, t.GPUsMax), MemoryGB: math.Inf(1), Slots: math.Inf(1)},
+		limit:     scheduler.Resources{CPUs: limit(t.CPUsMax), GPUs: limit(t.GPUsMax), MemoryGB: math.Inf(1), Slots: math.Inf(1)},
 	}
 }
 
 // idleExcess returns the excess of a team that uses nothing: the negated guarantee. For a resource with an infinite
 // guarantee the excess is positive infinity instead: negated, it would protect all the team's tasks that use the resource
-// from preemption, whatever the team uses of other resources. Memory is left at 0: it is never guaranteed, and
-// scheduler.Excess ignores it.
+// from preemption, whatever the team uses of other resources. Memory and task slots are left at 0: they are never
+// guaranteed, and scheduler.Excess ignores them.
 func (q quota) idleExcess() scheduler.Resources {
 	negated := func(guarantee float64) float64 {
 		if math.IsInf(guarantee, 1) {
--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -47,8 +47,10 @@
 func (l *leader) takeSnapshot(m *machine, t wire.MachineType) *scheduler.Machine {
 	s := &scheduler.Machine{
 		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Shard: m.shard,
-		Cap: machineCapacity(t), Free: machineCapacity(t), Images: m.images, Virtual: !m.up,
+		Cap: machineCapacity(t), Images: m.images, Virtual: !m.up,
 	}
+	s.Cap.Slots -= float64(m.endedAttempts.len())
+	s.Free = s.Cap
 	s.Fetching = l.spreading.imagesBeingFetched(m)
 	s.Free = s.Free.Add(l.spreading.reservedResources(m.id), -1)
 	if l.faulty(m) {
--- /dev/null
+++ b/controller/task_slots_test.go
@@ -0,0 +1,86 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pumicefront/config"
+	"pumicefront/wire"
+)
+
+// newLeaderWithMachines returns a leader with machines of 16 cores and 64 GB that are up and have no tasks.
+func newLeaderWithMachines(t *testing.T, count int) (*Core, *leader) {
+	t.Helper()
+	c, l, first := newLeadingCore(t)
+	delete(l.jobs, first.id)
+	l.jobsByAcceptance = nil
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 608})
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, BootS: 15, Zones: []string{"a"}}})
+	for i := range count {
+		m := l.machine(fmt.Sprintf("i-%02d", i))
+		l.failureDetector.applyHeartbeat(m, &wire.Report{Machine: m.id, Addr: "127.0.0.1:9", Type: "t", Zone: "a", Session: 1, Seq: 1, Token: 7})
+	}
+	return c, l
+}
+
+// runRound runs a placement round at once.
+func runRound(c *Core, l *leader) {
+	c.now = c.now.Add(50 * time.Millisecond)
+	l.authority, l.placementDueAt = c.now.Add(time.Hour), c.now
+	l.runPlacementRound()
+}
+
+// All tasks of an array that take next to nothing were placed on one machine. Its reports exceeded what a controller reads,
+// so that it lost its lease with everything on it. A single job leaves slots to others, also where its tasks have ended and
+// the worker was not told to forget them.
+func TestTasksOfNextToNothingLeaveSlotsToOthers(t *testing.T) {
+	c, l := newLeaderWithMachines(t, 3)
+	array := wire.Job{ID: "req-000098", Class: "tiny", Team: "red", Kind: wire.KindArray, Priority: "prod", Tasks: wire.MaxTasks, CPUs: 0.5e-18}
+	j := l.addJob(array.ID, &headerRecord{Job: array, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+	runRound(c, l)
+	const limit = slotsPerMachine - slotsForOtherJobs
+	for _, m := range l.machinesByName {
+		if len(m.attempts) != limit {
+			t.Errorf("%s has %d tasks of the array, want %d", m.id, len(m.attempts), limit)
+		}
+	}
+	m := l.machines["i-00"]
+	report := newReport(m, l.token)
+	report.Type, report.Zone = m.typ, m.zone
+	for _, a := range m.attemptsInOrder() {
+		l.runCommand(a)
+		report.Tasks = append(report.Tasks, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskExited, ExitReason: wire.ExitReasonDone})
+	}
+	l.failureDetector.applyHeartbeat(m, report)
+	other := wire.Job{ID: "req-000099", Class: "b", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 3 * slotsForOtherJobs, CPUs: 0.01}
+	l.addJob(other.ID, &headerRecord{Job: other, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+	runRound(c, l)
+	if n := len(l.jobs[other.ID].attempts); n != 3*slotsForOtherJobs {
+		t.Errorf("%d tasks of another job are placed, want %d", n, 3*slotsForOtherJobs)
+	}
+	if n := len(j.attempts); n != 2*limit {
+		t.Errorf("the array has %d active attempts, want %d while ended ones take slots", n, 2*limit)
+	}
+	if l.failureDetector.checkLeaseExpiry(); l.raisingToken {
+		t.Error("the token was raised less than tokenRaiseInterval after the election")
+	}
+	c.now = c.now.Add(tokenRaiseInterval)
+	if l.failureDetector.checkLeaseExpiry(); !l.raisingToken {
+		t.Error("the token is not raised for a machine that is crowded with ended attempts")
+	}
+}
+
+// The slots of a machine are so many that a report of as many tasks with the longest IDs stays within the limit on bodies.
+func TestReportOfAllSlotsFitsIntoABody(t *testing.T) {
+	notice := 120.5
+	report := wire.Report{Machine: "i-000000000231", Addr: "10.101.100.232:19000", Type: "a-long-machine-type", Zone: "a-long-zone-name", Spot: true,
+		Session: 1e6, Seq: 1e9, Token: 1e6, NoticeS: &notice}
+	for n := range slotsPerMachine {
+		report.Tasks = append(report.Tasks, wire.Task{ID: wire.TaskID("req-999999999999999999", wire.MaxTasks-1-n), Attempt: 99, State: wire.TaskExited,
+			ExitReason: wire.ExitReasonStopped, Saved: true})
+	}
+	if size := wire.Size(wire.Marshal(report)); size > wire.MaxBodyBytes {
+		t.Errorf("a report of %d tasks takes %d characters, the limit is %d", slotsPerMachine, size, wire.MaxBodyBytes)
+	}
+}
--- a/scheduler/balance.go
+++ b/scheduler/balance.go
@@ -52,7 +52,7 @@
 // roomBelowHot returns how many tasks of the demand fit on a machine before it becomes hot, or how many fit
 // at all if load is not balanced.
 func (d *Demand) roomBelowHot(m *Machine) int {
-	room := m.Free.Fits(d.TaskResources)
+	room := d.roomOn(m)
 	if d.Balance == nil {
 		return room
 	}
@@ -83,7 +83,7 @@
 // Fits reports whether a machine has room for one more task of the demand and meets its constraints on machines and
 // zones, the limit on starts included. It does not check the limit on fetches, RoomInTeam and Gang.
 func (d *Demand) Fits(m *Machine) bool {
-	return d.accepts(m) && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.TaskResources) > 0
+	return d.accepts(m) && d.zoneRoom(m.Zone) > 0 && d.roomOn(m) > 0
 }
 
 // PlaceOn assigns one of the demand's tasks to a machine and subtracts its resources there. It reports false
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -29,6 +29,8 @@
 	MissedObjectives int                    // objectives on its finishing time that it can no longer meet
 	WorkS            float64                // remaining work in core-seconds: the size of the unfinished tasks times the estimated run time
 	InZone           map[string]int         // tasks with an active attempt, by zone
+	OnMachine        map[string]int         // task slots that the job takes, by machine; nil: MaxOnMachine does not apply
+	MaxOnMachine     int                    // task slots that the job may take on one machine
 	RoomInTeam       int                    // further tasks that the team's limit allows
 	Avoid            map[string]bool        // IDs of machines that must not be used
 	RestartPhase     RestartPhase           // restart priority while work of a failed zone restarts
@@ -47,6 +49,23 @@
 	return d.Allows(m.Type, m.Zone, m.Spot) && !d.Avoid[m.ID] && (!d.CachedOnly || m.Images[d.Image])
 }
 
+// roomOn returns how many more of the demand's tasks have room on a machine, regardless of its zone.
+func (d *Demand) roomOn(m *Machine) int {
+	room := m.Free.Fits(d.TaskResources)
+	if d.OnMachine == nil {
+		return room
+	}
+	return min(room, d.ownRoomOn(m))
+}
+
+// ownRoomOn returns how many more tasks the limit on the job's own tasks allows on a machine.
+func (d *Demand) ownRoomOn(m *Machine) int {
+	if d.OnMachine == nil {
+		return maxFits
+	}
+	return max(d.MaxOnMachine-d.OnMachine[m.ID], 0)
+}
+
 // zoneRoom returns how many more of the demand's tasks may be placed in a zone.
 func (d *Demand) zoneRoom(zone string) int {
 	room := d.spreadRoom(zone)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -66,7 +66,7 @@
 	}
 	var fit []*Machine
 	for _, m := range machines {
-		if !m.Virtual && d.accepts(m) && m.Cap.Fits(d.TaskResources) > 0 && d.zoneRoom(m.Zone) > 0 {
+		if !m.Virtual && d.accepts(m) && m.Cap.Fits(d.TaskResources) > 0 && d.ownRoomOn(m) > 0 && d.zoneRoom(m.Zone) > 0 {
 			fit = append(fit, m)
 		}
 	}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -52,7 +52,7 @@
 	}
 	var eligible []*Machine
 	for _, m := range machines {
-		if d.accepts(m) && m.Free.Fits(d.TaskResources) > 0 {
+		if d.accepts(m) && d.roomOn(m) > 0 {
 			eligible = append(eligible, m)
 		}
 	}
@@ -168,7 +168,7 @@
 	var out []Assignment
 	for len(out) < want && len(candidates.items) > 0 {
 		m := candidates.items[0].Machine
-		if d.spreadRoom(m.Zone) <= 0 || m.Free.Fits(d.TaskResources) == 0 || !d.mayStart(m) {
+		if d.spreadRoom(m.Zone) <= 0 || d.roomOn(m) == 0 || !d.mayStart(m) {
 			heap.Pop(candidates)
 			continue
 		}
@@ -193,7 +193,7 @@
 func (d *Demand) capacity(machines []*Machine, want int) capacity {
 	var c capacity
 	for _, m := range machines {
-		n := m.Free.Fits(d.TaskResources)
+		n := d.roomOn(m)
 		c.all += n
 		if m.Penalty > 0 {
 			continue
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -51,7 +51,7 @@
 // the task uses, after the task and the tasks chosen so far are stopped.
 func (e Excess) covers(chosen []Victim, t *PreemptionTerms) bool {
 	remaining := e[t.Team]
-	remaining.MemoryGB = math.Inf(1) // memory is never guaranteed
+	remaining.MemoryGB, remaining.Slots = math.Inf(1), math.Inf(1) // never guaranteed
 	for _, v := range chosen {
 		if v.Team == t.Team {
 			remaining = remaining.Add(v.TaskResources, -1)
@@ -79,7 +79,7 @@
 	inZone := maps.Clone(d.InZone)
 	defer func() { d.InZone = inZone }() // restored, since none of these tasks is placed yet
 	for _, m := range machines {
-		if m.Virtual || !d.accepts(m) {
+		if m.Virtual || !d.accepts(m) || d.ownRoomOn(m) == 0 {
 			continue
 		}
 		// Resources that stopping tasks will release are set aside for these tasks first.
--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -2,8 +2,9 @@
 
 import "math"
 
-// Resources are amounts of CPU cores, GPUs and memory.
-type Resources struct{ CPUs, GPUs, MemoryGB float64 }
+// Resources are amounts of CPU cores, GPUs, memory and task slots. Each task takes one slot, and a machine has a limited
+// number of them, however little its tasks take otherwise.
+type Resources struct{ CPUs, GPUs, MemoryGB, Slots float64 }
 
 // epsilon absorbs rounding errors in comparisons of resource amounts.
 const epsilon = 1e-6
@@ -13,13 +14,13 @@
 
 // Add returns r + n times o.
 func (r Resources) Add(o Resources, n float64) Resources {
-	return Resources{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.MemoryGB + n*o.MemoryGB}
+	return Resources{r.CPUs + n*o.CPUs, r.GPUs + n*o.GPUs, r.MemoryGB + n*o.MemoryGB, r.Slots + n*o.Slots}
 }
 
 // Fits returns how many times d fits into r, at most maxFits.
 func (r Resources) Fits(d Resources) int {
-	times := min(timesFitting(r.CPUs, d.CPUs), timesFitting(r.GPUs, d.GPUs), timesFitting(r.MemoryGB, d.MemoryGB), maxFits)
-	return int(times)
+	times := min(timesFitting(r.CPUs, d.CPUs), timesFitting(r.GPUs, d.GPUs), timesFitting(r.MemoryGB, d.MemoryGB), timesFitting(r.Slots, d.Slots))
+	return int(min(times, maxFits))
 }
 
 // timesFitting returns how many times need fits into free, not rounded: infinity if nothing is needed, and never NaN. An
--- a/scheduler/restart.go
+++ b/scheduler/restart.go
@@ -85,6 +85,9 @@
 // number undoes them.
 func (d *Demand) countStarts(m *Machine, starts int) {
 	d.InZone[m.Zone] += starts
+	if d.OnMachine != nil {
+		d.OnMachine[m.ID] += starts
+	}
 	if limit := d.StartLimits[m.Zone]; limit != nil {
 		limit.count(d, m, starts)
 	}
