A round requests a bounded number of machines, and no headroom beyond the limits of the teams

Each request is a record in the state service, written beside the write budget, which takes 60 changes a second in the smallest deployment; the requests are dropped when the cloud refuses, and made again 15 s later.

Cause: the headroom of a class follows the sizes of its jobs and was bounded by no limit of a team, though no team could have used it; and PlanRentals bounded the kinds of machine, not the machines.

Change: headroom is at most what the limits of all teams allow beyond their use, and a round requests at most 1,000 machines, in 20 requests. The cloud takes 2 to 4 calls a second, so 20 requests take it longer than a round as it is. The estimate of headroom is rounded by tasksUpTo, which gives 0 for an estimate that is not a number.

PlanRentals' tests name both limits and check the same.

--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"pumicefront/config"
 	"pumicefront/wire"
 )
 
@@ -74,3 +75,24 @@
 		t.Errorf("adding and removing %d attempts took %v, want a few hundred milliseconds; %d are left", spec.Tasks, took, len(m.attemptsInOrder()))
 	}
 }
+
+// An array of 100,000 tasks made hundreds of rental requests in one round, each with a write beside the write budget: for
+// its own tasks where its team has no limit, and otherwise for headroom that no team could have used.
+func TestRentalsForTheLargestArray(t *testing.T) {
+	for coresMax, wantMachines := range map[float64]int{0: maxMachinesPerRound, 608: 38} {
+		c, l := newLeaderWithMachines(t, 0)
+		c.cfg.Facts.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
+		c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: coresMax})
+		spec := wire.Job{ID: "req-000099", Class: "b", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: wire.MaxTasks, CPUs: 4, MemoryGB: 8}
+		l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+		c.out = nil
+		l.autoscaler.scaleOut()
+		machines := 0
+		for _, req := range l.autoscaler.requests {
+			machines += req.spec.Count
+		}
+		if machines < wantMachines || machines > 2*wantMachines || machines > maxMachinesPerRound {
+			t.Errorf("team limit of %v cores: %d machines requested, want %d to twice as many, with headroom, and at most %d", coresMax, machines, wantMachines, maxMachinesPerRound)
+		}
+	}
+}
--- a/controller/autoscaler.go
+++ b/controller/autoscaler.go
@@ -21,7 +21,8 @@
 	scaleInMax            = 4                // unneeded machines released in one round: at most this number,
 	scaleInDivisor        = 16               // or the number of all machines divided by this, if that is more
 	maxMachinesPerRequest = 50               // machines in one request, the cloud's limit
-	maxRequestsPerRound   = 8                // rental requests made in one round
+	maxKindsPerRound      = 8                // kinds of machine requested in one round
+	maxMachinesPerRound   = 1000             // machines requested in one round: each maxMachinesPerRequest of them take a write and a call
 	maxMachinesPerRelease = 100              // machines in one release call, the cloud's limit
 	cloudRateShare        = 0.9              // share of the cloud's rate limit that calls use: above the limit the cloud answers 429
 )
@@ -107,7 +108,7 @@
 	machines := s.schedulerView(true)
 	demands := append(s.backlog(), s.headroom()...)
 	s.zones.excludeClosedZones(demands)
-	wants := scheduler.PlanRentals(machines, demands, s.offers(), maxRequestsPerRound)
+	wants := scheduler.PlanRentals(machines, demands, s.offers(), scheduler.RentalLimits{Kinds: maxKindsPerRound, Machines: maxMachinesPerRound})
 	for _, w := range wants {
 		for left := s.zones.limitRentals(w.Offer.Zone, w.Count); left > 0; left -= maxMachinesPerRequest {
 			s.requestRental(wire.RentRequest{Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot, Count: min(left, maxMachinesPerRequest)})
--- a/controller/headroom.go
+++ b/controller/headroom.go
@@ -22,17 +22,18 @@
 
 // headroom lists demands for room beyond the current use, one for each job class. The longer a machine takes to boot
 // compared to the class's service-level objectives, the more headroom; but no more than may be missing before a machine
-// requested now would be up.
+// requested now would be up, nor than the limits of the teams allow to be used.
 func (s *autoscaler) headroom() []*scheduler.Demand {
 	s.updatePeaks()
 	var ds []*scheduler.Demand
+	used := s.teamUse()
 	for _, class := range slices.Sorted(maps.Keys(s.peaks)) {
 		p := s.peaks[class]
-		n := int(math.Ceil(math.Min(p.tasks*s.headroomShare(&p.spec), s.surge(&p.spec))))
+		d := s.c.demandOf(&p.spec)
+		n := tasksUpTo(math.Min(p.tasks*s.headroomShare(&p.spec), s.surge(&p.spec)), s.roomInTeams(d, used))
 		if n == 0 {
 			continue
 		}
-		d := s.c.demandOf(&p.spec)
 		d.Job, d.Zone, d.OneZone, d.Spread, d.Gang = "headroom/"+class, "", false, false, false
 		d.Total, d.RoomInTeam, d.AgeS, d.OtherClasses = n, n, -1, s.otherClasses(class)
 		d.Tasks = make([]int, n)
@@ -41,6 +42,23 @@
 	return ds
 }
 
+// tasksUpTo rounds an estimated number of tasks up, to at most a limit. An estimate that is not a number gives 0.
+func tasksUpTo(estimate float64, limit int) int {
+	if !(estimate > 0) {
+		return 0
+	}
+	return int(math.Min(math.Ceil(estimate), float64(limit)))
+}
+
+// roomInTeams returns how many more tasks of a demand the limits of all teams together allow.
+func (s *autoscaler) roomInTeams(d *scheduler.Demand, used map[string]scheduler.Resources) int {
+	room := 0
+	for team, q := range s.c.quotas {
+		room += q.room(used[team], d.TaskResources)
+	}
+	return room
+}
+
 func (s *autoscaler) updatePeaks() {
 	current := map[string]float64{}
 	for _, j := range s.jobsByAcceptance {
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -59,6 +59,9 @@
 	return scheduler.Resources{CPUs: negated(g.CPUs), GPUs: negated(g.GPUs)}
 }
 
+// room returns how many more tasks the limit allows of a team that uses the given resources.
+func (q quota) room(used, task scheduler.Resources) int { return q.limit.Add(used, -1).Fits(task) }
+
 // teamUse sums, by team, the resources of all attempts whose end is not yet proved and of the unfinished tasks of jobs
 // granted to other cells.
 func (l *leader) teamUse() map[string]scheduler.Resources {
@@ -88,7 +91,7 @@
 
 // roomInTeam returns how many more tasks of a demand the limit of its team allows, given the use of all teams.
 func (l *leader) roomInTeam(d *scheduler.Demand, used map[string]scheduler.Resources) int {
-	return l.c.quotas[d.Team].limit.Add(used[d.Team], -1).Fits(d.TaskResources)
+	return l.c.quotas[d.Team].room(used[d.Team], d.TaskResources)
 }
 
 // fitsGuarantee adds the unfinished tasks of a job to its team's sum in teamSums, and reports whether the new sum fits
--- a/scheduler/rentals.go
+++ b/scheduler/rentals.go
@@ -16,10 +16,16 @@
 	Count int
 }
 
+// RentalLimits bound what is rented in one round.
+type RentalLimits struct {
+	Kinds    int // kinds of machine
+	Machines int // machines of all kinds together
+}
+
 // PlanRentals decides which machines to rent for tasks that fit on no machine, booting ones
-// included. It rents at most maxKinds kinds of machine and picks, each time, the offer
-// with the lowest cost per task that it can hold.
-func PlanRentals(machines []*Machine, demands []*Demand, offers []Offer, maxKinds int) []RentalRequest {
+// included. It stays within the limits and picks, each time, the offer with the lowest cost
+// per task that it can hold.
+func PlanRentals(machines []*Machine, demands []*Demand, offers []Offer, limits RentalLimits) []RentalRequest {
 	var requests []RentalRequest
 	kinds := map[Offer]bool{}
 	Order(demands)
@@ -27,9 +33,12 @@
 		left := min(len(d.Tasks), d.RoomInTeam) - len(Place(machines, d))
 		for left > 0 {
 			best := cheapestOffer(offers, d, left)
-			if best == nil || !kinds[*best] && len(kinds) == maxKinds {
+			if best == nil || !kinds[*best] && len(kinds) == limits.Kinds {
 				break
 			}
+			if len(requests) == limits.Machines {
+				return mergeRequests(requests)
+			}
 			m := &Machine{ID: "wanted", Type: best.Type, Zone: best.Zone, Spot: best.Spot, Cap: best.Cap, Free: best.Cap, Virtual: true}
 			for left > 0 && d.zoneRoom(m.Zone) > 0 && m.Free.Fits(d.TaskResources) > 0 {
 				m.Free = m.Free.Add(d.TaskResources, -1)
@@ -54,7 +63,7 @@
 			continue
 		}
 		n := min(o.Cap.Fits(d.TaskResources), d.zoneRoom(o.Zone))
-		if n == 0 {
+		if n <= 0 {
 			continue
 		}
 		// Capacity that the job leaves free on a larger machine can serve other jobs:
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -210,15 +210,15 @@
 		{Type: "small", Cap: Resources{CPUs: 4, MemoryGB: 32}, Price: 0.36},
 	}
 	d := demand(1, 2)
-	if requests := PlanRentals(nil, []*Demand{d}, offers, 5); len(requests) != 1 || requests[0].Offer.Type != "small" || requests[0].Count != 1 {
+	if requests := PlanRentals(nil, []*Demand{d}, offers, RentalLimits{Kinds: 5, Machines: 100}); len(requests) != 1 || requests[0].Offer.Type != "small" || requests[0].Count != 1 {
 		t.Errorf("one small task: %+v", requests)
 	}
 	d = demand(5, 8)
 	d.Spot = true
-	if requests := PlanRentals(nil, []*Demand{d}, offers, 5); len(requests) != 1 || !requests[0].Offer.Spot || requests[0].Count != 2 {
+	if requests := PlanRentals(nil, []*Demand{d}, offers, RentalLimits{Kinds: 5, Machines: 100}); len(requests) != 1 || !requests[0].Offer.Spot || requests[0].Count != 2 {
 		t.Errorf("five large tasks on spot: %+v", requests)
 	}
-	if requests := PlanRentals(machines(1, "x", 16), []*Demand{demand(4, 2)}, offers, 5); requests != nil {
+	if requests := PlanRentals(machines(1, "x", 16), []*Demand{demand(4, 2)}, offers, RentalLimits{Kinds: 5, Machines: 100}); requests != nil {
 		t.Errorf("rented %+v though there is room", requests)
 	}
 }
