Numbers in machine types and objectives that are no amounts no longer end the leaders

Seen (trials on the code before): a machine type from the cloud, or from the record of it that another controller wrote, with a boot time of NaN or infinity ends the leader with "makeslice: len out of range" when it computes headroom, and so does a guarantee objective of nan in the settings, which TOML allows. CBOR and TOML both have such numbers.

Change: wire.MachineType.CheckAmounts and wire.Job.CheckAmounts check numbers that did not come through ParseJob, with the bound that submissions have. setTypes leaves out a type with an invalid amount, or keeps its earlier description, and logs the field; the measure is derived from the types that remain, in the order of their names. An objective of a kind that is used must be within 0 and 1e9, else the settings are refused with the field's name, like all others.

--- a/config/config.go
+++ b/config/config.go
@@ -117,6 +117,20 @@
 	Share   float64 `toml:"share"`    // share of jobs or tasks, 0 to 1, that must meet the objective
 }
 
+// maxObjective is the largest number of seconds, or multiple of a deadline, in an objective.
+const maxObjective = 1e9
+
+// check checks the numbers of an objective of a kind that is not ignored.
+func (o Objective) check() error {
+	switch o.Kind {
+	case "wait", "guarantee", "finished":
+		return checkBounds([]bound{{"facts.objectives.within_s", seconds, o.WithinS, 0, maxObjective}})
+	case "deadline":
+		return checkBounds([]bound{{"facts.objectives.times", "", o.Times, 0, maxObjective}})
+	}
+	return nil
+}
+
 // Operator holds the operator settings; docs/operations.md explains each of them.
 type Operator struct {
 	LeaderLife   string  `hcl:"leader_life,optional"`   // time to live of the leader's lease, as a Go duration: "1.4s"
@@ -337,6 +351,11 @@
 			return &SettingError{Field: "facts.teams", Kind: ErrOutOfRange, Detail: fmt.Sprintf("of team %q: a guarantee or limit is negative, or a guarantee exceeds its limit", t.Name)}
 		}
 	}
+	for _, o := range p.Facts.Objectives {
+		if err := o.check(); err != nil {
+			return err
+		}
+	}
 	f := &p.Facts
 	return checkBounds([]bound{
 		{"facts.workers.report_s", "", f.Workers.ReportS, 0.01, 3600},
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -165,3 +165,24 @@
 		t.Errorf("NaN seconds are %v, want 0", got)
 	}
 }
+
+// An objective that is not a number (TOML has nan and inf) or that is negative is refused with the name of its field; it
+// ended every leader when headroom was computed from it. Objectives of other kinds are ignored.
+func TestObjectivesOutOfRange(t *testing.T) {
+	const objectives = "[[facts.objectives]]\nkind = \"KIND\"\nclass = \"a\"\nwithin_s = WITHIN\ntimes = TIMES\n"
+	for _, c := range []struct{ kind, within, times, field string }{
+		{"wait", "nan", "0.0", "facts.objectives.within_s"}, {"guarantee", "-1.0", "0.0", "facts.objectives.within_s"},
+		{"finished", "inf", "0.0", "facts.objectives.within_s"}, {"deadline", "0.0", "nan", "facts.objectives.times"},
+		{"wait", "5.0", "nan", ""}, {"deadline", "nan", "1.5", ""}, {"price", "nan", "nan", ""},
+	} {
+		text := strings.NewReplacer("KIND", c.kind, "WITHIN", c.within, "TIMES", c.times).Replace(objectives)
+		_, err := LoadPlatform(writeFile(t, "s.toml", strings.Replace(validPlatform, "[facts.workers]", text+"[facts.workers]", 1)))
+		if c.field == "" {
+			if err != nil {
+				t.Errorf("%+v: %v", c, err)
+			}
+			continue
+		}
+		checkSettingError(t, err, c.field, ErrOutOfRange, false)
+	}
+}
--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -96,3 +96,31 @@
 		}
 	}
 }
+
+// A machine type whose boot time or size is no number ended every leader: the headroom computed from it was the least
+// integer. Such a type is left out, or keeps its earlier description, and the others are used.
+func TestMachineTypesWithInvalidAmounts(t *testing.T) {
+	good := wire.MachineType{Name: "good", CPUs: 16, MemoryGB: 64, BootS: 15, Zones: []string{"a"}}
+	for _, broken := range []wire.MachineType{
+		{Name: "broken", CPUs: 16, MemoryGB: 64, BootS: math.NaN(), Zones: []string{"a"}},
+		{Name: "broken", CPUs: 16, MemoryGB: 64, BootS: math.Inf(1), Zones: []string{"a"}},
+		{Name: "broken", CPUs: math.Inf(1), MemoryGB: 64, BootS: 15, Zones: []string{"a"}},
+		{Name: "broken", CPUs: 16, GPUs: math.SmallestNonzeroFloat64, MemoryGB: 64, BootS: 15, Zones: []string{"a"}},
+		{Name: "broken", CPUs: 16, MemoryGB: math.NaN(), BootS: 15, Zones: []string{"a"}},
+	} {
+		c, l := newLeaderWithMachines(t, 2)
+		c.cfg.Facts.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 5}}
+		spec := wire.Job{ID: "req-000099", Class: "b", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 20, CPUs: 4, MemoryGB: 8}
+		l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+		c.setTypes([]wire.MachineType{good, broken})
+		l.autoscaler.scaleOut()
+		if _, known := c.types["broken"]; known || c.types["good"].CPUs != 16 {
+			t.Errorf("types %v", c.types)
+		}
+		broken.Name = "good"
+		c.setTypes([]wire.MachineType{broken})
+		if l.autoscaler.scaleOut(); c.types["good"].BootS != 15 || c.types["good"].CPUs != 16 {
+			t.Errorf("an invalid description replaces a valid one: %v", c.types)
+		}
+	}
+}
--- a/controller/watch_cache.go
+++ b/controller/watch_cache.go
@@ -1,7 +1,10 @@
 package controller
 
 import (
+	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -273,20 +276,30 @@
 	}
 }
 
-// setTypes replaces the machine types and derives measure from them.
+// setTypes replaces the machine types and derives measure from them. A type with an invalid amount is left out, or keeps
+// its earlier description if there is one.
 func (c *Core) setTypes(types []wire.MachineType) {
-	clear(c.types)
+	previous := c.types
+	c.types = map[string]wire.MachineType{}
 	for _, t := range types {
+		if err := t.CheckAmounts(); err != nil {
+			c.log(slog.LevelError, "machine type has an invalid amount", "type", t.Name, "error", err)
+			var known bool
+			if t, known = previous[t.Name]; !known {
+				continue
+			}
+		}
 		c.types[t.Name] = t
 	}
-	c.measure = measureOf(types)
+	c.measure = measureOf(c.types)
 }
 
 // measureOf derives a measure from the machine types: one GPU counts as much as its share of the cores of all types with
 // GPUs, and one GB of memory as much as its share of the cores of all types.
-func measureOf(types []wire.MachineType) scheduler.Measure {
+func measureOf(types map[string]wire.MachineType) scheduler.Measure {
 	var all, withGPUs scheduler.Resources
-	for _, t := range types {
+	for _, name := range slices.Sorted(maps.Keys(types)) { // sums of floats depend on the order
+		t := types[name]
 		all = all.Add(machineCapacity(t), 1)
 		if t.GPUs > 0 {
 			withGPUs = withGPUs.Add(machineCapacity(t), 1)
--- a/wire/submit.go
+++ b/wire/submit.go
@@ -112,7 +112,7 @@
 // ErrInvalidField is wrapped by every *FieldError.
 var ErrInvalidField = errors.New("missing or invalid")
 
-// FieldError reports a missing or invalid field of a submission. It wraps
+// FieldError reports a missing or invalid field of a submission or of another message. It wraps
 // ErrInvalidField.
 type FieldError struct {
 	Field string // name of the field in the protocol, such as "pieces" or "waits_on"
@@ -148,9 +148,9 @@
 	return *v
 }
 
-// nonNegative returns the value of a required number, which must be at least 0 and less than 1e12.
+// nonNegative returns the value of a required amount.
 func (p *parser) nonNegative(field string, v *float64) float64 {
-	if v == nil || !(*v >= 0 && *v < 1e12) {
+	if v == nil || !validAmount(*v) {
 		p.fail(field)
 		return 0
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 )
@@ -132,3 +133,37 @@
 		t.Errorf("error for a body that can't be decoded: %v", err)
 	}
 }
+
+// The numbers of a job and of a machine type are checked where they did not come through ParseJob; the error names the field.
+func TestCheckAmounts(t *testing.T) {
+	valid := func() Job { return Job{Tasks: 1, CPUs: 0.5e-18, MemoryGB: 60, SaveS: 1e11} }
+	if j := valid(); j.CheckAmounts() != nil {
+		t.Errorf("%+v: %v", j, j.CheckAmounts())
+	}
+	negative := -1.0
+	for field, change := range map[string]func(j *Job){
+		"pieces": func(j *Job) { j.Tasks = MaxTasks + 1 }, "cores": func(j *Job) { j.CPUs = math.NaN() }, "gpus": func(j *Job) { j.GPUs = -1 },
+		"ram_gb": func(j *Job) { j.MemoryGB = math.Inf(1) }, "stash_s": func(j *Job) { j.SaveS = 1e12 }, "due_s": func(j *Job) { j.DeadlineS = &negative },
+	} {
+		j := valid()
+		change(&j)
+		var fieldErr *FieldError
+		if err := j.CheckAmounts(); !errors.As(err, &fieldErr) || fieldErr.Field != field {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+	for field, change := range map[string]func(m *MachineType){
+		"cores": func(m *MachineType) { m.CPUs = math.Inf(1) }, "gpus": func(m *MachineType) { m.GPUs = 1e-300 },
+		"boot_s": func(m *MachineType) { m.BootS = math.NaN() }, "rate": func(m *MachineType) { m.Price = -1 },
+	} {
+		m := MachineType{Name: "g8", CPUs: 8, MemoryGB: 64, BootS: 30}
+		if err := m.CheckAmounts(); err != nil {
+			t.Errorf("%+v: %v", m, err)
+		}
+		change(&m)
+		var fieldErr *FieldError
+		if err := m.CheckAmounts(); !errors.As(err, &fieldErr) || fieldErr.Field != field {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
