Numbers in records and in messages of peers that make no sense no longer end the leaders

Seen (trials on the code before): a task record with a completed range or a placement below 0 ("index out of range [-1]"), a header with fewer than 0 or with 2^50 tasks ("makeslice: len out of range") or with 2^63-1 tasks in a record ("index out of range [0]"), and a rejected submission with fewer than 0 tasks that another controller reports ("makeslice") each end the leader that reads them. What is on record ends every later leader too. By reading, an offer of another cell with such a number would have been written as a header here, and cores lent by another cell that are NaN would have been room for any job.

Change: bounds are checked on both sides where records are restored. A job whose header has an impossible number is logged and not run; the header stays, so that its users are answered and may cancel it. Demand hints and offers of cells are checked with wire.Job.CheckAmounts; an offer that fails is refused like one without room.

--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pumicefront/config"
+	"pumicefront/mesh"
+	"pumicefront/reduction"
 	"pumicefront/wire"
 )
 
@@ -124,3 +126,75 @@
 		}
 	}
 }
+
+// Numbers in records that make no sense ended every leader that read them: they were used as lengths and indexes. They are
+// left out; a job whose header has one is not run, and its users are still answered.
+func TestRecordsWithInvalidNumbers(t *testing.T) {
+	c, l, j := newLeadingCore(t)
+	l.restore(j, 0, &taskRecord{
+		Done:   [][2]int{{-1, 0}, {math.MinInt, -1}, {5, math.MaxInt}},
+		Placed: []placedRecord{{Task: -1, Attempt: 1, Machine: "i-1"}, {Task: math.MaxInt, Attempt: 1, Machine: "i-1"}, {Task: 1, Attempt: 1, Machine: "i-1"}},
+	}, 1)
+	if j.state.Count(reduction.Completed) != 1 || len(j.attempts) != 1 {
+		t.Errorf("%d tasks are completed and %d attempts active, want 1 of each", j.state.Count(reduction.Completed), len(j.attempts))
+	}
+	for _, key := range []string{"t/req-000001/-00001", "t/req-000001/s-0001"} {
+		if _, _, _, ok := parseChunkKey(key); ok {
+			t.Errorf("%s is accepted", key)
+		}
+	}
+	valid := wire.Job{ID: "req-000007", Kind: wire.KindArray, Priority: "standard", Tasks: 5, CPUs: 1}
+	for name, change := range map[string]func(h *headerRecord){
+		"no tasks":             func(h *headerRecord) { h.Job.Tasks = 0 },
+		"negative tasks":       func(h *headerRecord) { h.Job.Tasks = -1 },
+		"too many tasks":       func(h *headerRecord) { h.Job.Tasks = 1 << 50 },
+		"cores are no number":  func(h *headerRecord) { h.Job.CPUs = math.NaN() },
+		"tasks of one record":  func(h *headerRecord) { h.TasksPerChunk = math.MaxInt },
+		"negative tasks there": func(h *headerRecord) { h.TasksPerChunk = -1 },
+	} {
+		h := headerRecord{Job: valid, TasksPerChunk: 10}
+		change(&h)
+		c.headerChanged(valid.ID, &h)
+		if l.jobs[valid.ID] != nil {
+			t.Errorf("%s: the job is to be run", name)
+		}
+		if state := c.jobState(valid.ID); c.watchCache.headers[valid.ID] == nil || state.State != wire.StateQueued {
+			t.Errorf("%s: the job is %s and its header %v", name, state.State, c.watchCache.headers[valid.ID])
+		}
+		l.jobs, l.jobsByAcceptance = map[string]*job{}, nil
+		if l.rebuild(nil, nil); len(l.jobs) > 0 {
+			t.Errorf("%s: a new leader runs the job", name)
+		}
+	}
+	c.headerChanged(valid.ID, &headerRecord{Job: valid, TasksPerChunk: 10})
+	if l.jobs[valid.ID] == nil {
+		t.Error("the job is not run with a valid header")
+	}
+}
+
+// A rejected submission that another controller reports and an offer of another cell ended the leader if their number of
+// tasks was negative; room in another cell that is no number took any job.
+func TestPeersWithInvalidNumbers(t *testing.T) {
+	c, l, _ := newLeadingCore(t)
+	for _, tasks := range []int{-1, 0, 1 << 50} {
+		job := wire.Job{ID: "req-000007", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: tasks, CPUs: 1}
+		c.handleMeshMessage(&mesh.Envelope{From: "n1", Body: &mesh.Envelope_DemandHints{DemandHints: &mesh.DemandHints{Jobs: [][]byte{wire.Marshal(job)}}}})
+	}
+	if n := len(l.autoscaler.hintedDemands()); n != 0 {
+		t.Errorf("%d demands of submissions with impossible numbers of tasks", n)
+	}
+	_, leader, _ := newSpilloverLeader(t)
+	f := leader.spillover
+	for _, spec := range []wire.Job{{Tasks: -1, CPUs: 1}, {Tasks: 2, CPUs: math.NaN()}, {Tasks: 2, CPUs: -1}} {
+		spec.ID, spec.Team, spec.Kind, spec.Priority = "req-000007", "red", wire.KindArray, "standard"
+		if f.canAccept(&spec) {
+			t.Errorf("an offer of %d tasks of %v cores is accepted", spec.Tasks, spec.CPUs)
+		}
+	}
+	for _, link := range f.links {
+		f.handleReply(link, CellReply{OK: true, AvailableCores: math.NaN()})
+		if link.availableCores != 0 {
+			t.Errorf("another cell lends %v cores", link.availableCores)
+		}
+	}
+}
--- a/controller/cell_holder.go
+++ b/controller/cell_holder.go
@@ -93,7 +93,7 @@
 // canAccept reports whether a job of another cell can run here and fits into the available lent cores. Cores that
 // are already reserved for an earlier acceptance of the same job count as available.
 func (s *spilloverManager) canAccept(spec *wire.Job) bool {
-	return spec.Kind == wire.KindArray && len(s.c.types) > 0 && s.c.canRun(spec) && s.availableCores()+s.pendingAcceptances[spec.ID].size >= s.size(spec)
+	return spec.Kind == wire.KindArray && spec.CheckAmounts() == nil && len(s.c.types) > 0 && s.c.canRun(spec) && s.availableCores()+s.pendingAcceptances[spec.ID].size >= s.size(spec)
 }
 
 // size returns the total size of all tasks of a job, in cores.
--- a/controller/cell_spillover.go
+++ b/controller/cell_spillover.go
@@ -150,7 +150,10 @@
 		link.nextCallAt = s.c.now.Add(pause/2 + time.Duration(s.c.rng.Int64N(int64(pause/2)+1)))
 		return
 	}
-	link.failures, link.lastReplyAt, link.nextCallAt, link.availableCores = 0, s.c.now, s.c.now.Add(cellCallInterval), r.AvailableCores
+	link.failures, link.lastReplyAt, link.nextCallAt, link.availableCores = 0, s.c.now, s.c.now.Add(cellCallInterval), 0
+	if r.AvailableCores > 0 { // NaN counts as none
+		link.availableCores = r.AvailableCores
+	}
 	if r.Challenge != link.lastChallenge { // a new leader, which neither starts foreign jobs nor lends cores until a call carries its challenge
 		link.lastChallenge, link.nextCallAt = r.Challenge, s.c.now
 	}
--- a/controller/job.go
+++ b/controller/job.go
@@ -116,6 +116,16 @@
 	return j
 }
 
+// canAdd reports whether a job can be added by its header. A header with a number that makes no sense stays on record, so
+// that users are answered, but the job is not run; it must not end the leader.
+func (l *leader) canAdd(id string, h *headerRecord) bool {
+	err := h.check()
+	if err != nil {
+		l.c.log(slog.LevelError, "job can't be run: its header has an invalid number", "job", id, "error", err)
+	}
+	return err == nil
+}
+
 // applyHeader applies a change of a job's header to the leader's state.
 func (l *leader) applyHeader(id string, h *headerRecord) {
 	j := l.jobs[id]
@@ -123,6 +133,8 @@
 	case h == nil:
 		// Only the leader deletes headers; writeQueue.confirm handles the write that deleted this one.
 		return
+	case j == nil && !l.canAdd(id, h):
+		return
 	case j == nil: // it may be cancelled already: a full reload skips intermediate versions
 		j = l.addJob(id, h)
 		l.c.log(slog.LevelInfo, "job accepted", "job", id, "class", h.Job.Class, "team", h.Job.Team, "tasks", h.Job.Tasks)
--- a/controller/mesh_messages.go
+++ b/controller/mesh_messages.go
@@ -54,7 +54,7 @@
 		}
 	case *mesh.Envelope_DemandHints:
 		for _, raw := range body.DemandHints.Jobs {
-			if j := decode[wire.Job](raw); j != nil {
+			if j := decode[wire.Job](raw); j != nil && j.CheckAmounts() == nil {
 				c.recordDemandHint(j)
 			}
 		}
--- a/controller/records.go
+++ b/controller/records.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 
@@ -52,6 +53,19 @@
 	Origin *originRecord `cbor:"o,omitempty"` // the job belongs to another cell, which granted it to this one
 }
 
+// check reports an error if a leader can't run the job that the header describes.
+func (h *headerRecord) check() error {
+	if h.TasksPerChunk < 0 || h.TasksPerChunk > maxTasksPerChunk {
+		return errTasksPerChunk
+	}
+	return h.Job.CheckAmounts()
+}
+
+// maxTasksPerChunk bounds the number of tasks in a task record: far more than a value of any size limit holds.
+const maxTasksPerChunk = 1 << 30
+
+var errTasksPerChunk = errors.New("number of tasks in a task record is out of range")
+
 // finalRecord is the record of a finished or cancelled job.
 type finalRecord struct {
 	Cancelled bool  `cbor:"x,omitempty"`
@@ -105,7 +119,7 @@
 	}
 	num, divided = strings.CutPrefix(num, "s")
 	_, err := fmt.Sscanf(num, "%d", &chunk)
-	return job, chunk, divided, err == nil
+	return job, chunk, divided, err == nil && chunk >= 0
 }
 
 // tasksPerRecord returns how many tasks fit into one task record within the value size limit: an
--- a/controller/recovery.go
+++ b/controller/recovery.go
@@ -109,7 +109,9 @@
 func (l *leader) rebuild(tasks, rentals []wire.Item) {
 	c := l.c
 	for id, h := range c.watchCache.headers {
-		l.addJob(id, h)
+		if l.canAdd(id, h) {
+			l.addJob(id, h)
+		}
 	}
 	for _, it := range tasks {
 		id, n, divided, ok := parseChunkKey(it.Key)
@@ -157,13 +159,13 @@
 	}
 	j.chunks[n].version, j.chunks[n].lastAttempt = version, rec.Next
 	for _, r := range rec.Done {
-		for t := r[0]; t <= r[1] && t < j.spec.Tasks; t++ {
+		for t := max(r[0], 0); t <= r[1] && t < j.spec.Tasks; t++ {
 			j.state.Accumulate(t, reduction.Succeeded)
 			j.hasStarted = true
 		}
 	}
 	for _, p := range rec.Placed {
-		if p.Task >= j.spec.Tasks {
+		if p.Task < 0 || p.Task >= j.spec.Tasks {
 			continue
 		}
 		m := l.machine(p.Machine)
