The time that a stopped task gets to save is bounded

Seen by reading, shown by the test: a submission may declare up to 1e12 s for saving a checkpoint, and a task that is stopped for urgent work, for a machine that the cloud takes back or for consolidation was told that it may take one and a half times as long. Its room counts as about to become free meanwhile, so nothing else is stopped for the urgent work, which waits for ever.

Change: a task whose time to save would exceed 120 s is stopped at once and loses its progress since its last own checkpoint.

--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -198,3 +198,15 @@
 		}
 	}
 }
+
+// A task that declares that it needs thousands of years to save a checkpoint got as long when it was stopped, and the
+// urgent work that it was stopped for never got its room.
+func TestSaveTimeIsBounded(t *testing.T) {
+	for _, c := range []struct{ checkpointS, saveS, want float64 }{
+		{20, 4, 7}, {20, 79, 119.5}, {20, 80, 0}, {20, 1e11, 0}, {0, 4, 0}, {math.SmallestNonzeroFloat64, 0, 1},
+	} {
+		if got := saveGraceS(&wire.Job{CheckpointS: c.checkpointS, SaveS: c.saveS}); got != c.want {
+			t.Errorf("a task that needs %v s to save gets %v s, want %v s", c.saveS, got, c.want)
+		}
+	}
+}
--- a/controller/draining.go
+++ b/controller/draining.go
@@ -26,10 +26,15 @@
 	return max(a.job.spec.EstimateS-ran, ran/4)
 }
 
-// saveGraceS returns the time in seconds that a stopped task gets to save a checkpoint.
+// maxSaveGraceS bounds the time in seconds that a stopped task gets to save a checkpoint: other work waits for its room.
+const maxSaveGraceS = 120
+
+// saveGraceS returns the time in seconds that a stopped task gets to save a checkpoint. It is 0 for a task that would need
+// longer than maxSaveGraceS, which loses its progress since the last checkpoint.
 func saveGraceS(j *wire.Job) float64 {
-	if j.CheckpointS == 0 {
+	grace := j.SaveS*1.5 + 1
+	if j.CheckpointS == 0 || grace > maxSaveGraceS {
 		return 0
 	}
-	return j.SaveS*1.5 + 1
+	return grace
 }
