Nothing is reserved for a job that would not fit on the reserved machines either

Seen (the new test on the code before): an aged gang of 13 tasks of 4 cores on three machines of 16 has all three reserved in every round, as one of 100,000 tasks has, and an aged task of 60 GB has a machine of 64 GB reserved whose service holds 6.3 GB and never ends. A reserved machine takes no later batch job of the round, so one accepted gang that the cloud can't hold keeps all other batch jobs from ever starting.

A job waits on as before, without keeping others from the machines.

Measured: TestNothingIsReservedForWhatNeverFits fails before and passes now; TestLargestJobsAreNotStarved passes as before.

--- a/controller/snapshots.go
+++ b/controller/snapshots.go
@@ -84,6 +84,9 @@
 		s.Releasing = s.Releasing.Add(each, 1)
 		return
 	}
+	if a.job.spec.Kind == wire.KindService {
+		s.Permanent = s.Permanent.Add(each, 1)
+	}
 	if a.phase < attemptReported {
 		return // its run command may still be in transit, so it is no preemption candidate
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -56,39 +56,6 @@
 	return out
 }
 
-// ReserveFor reserves machines until a demand fits that cannot start bit by bit: a gang, or a
-// task that needs most of a machine. Without it, smaller tasks would take every core as it
-// becomes free. A reserved machine has no free resources for later demands of the round.
-func ReserveFor(machines []*Machine, d *Demand) {
-	want := 1
-	if d.Gang {
-		want = len(d.Tasks)
-	}
-	var fit []*Machine
-	for _, m := range machines {
-		if !m.Virtual && d.accepts(m) && m.Cap.Fits(d.TaskResources) > 0 && d.ownRoomOn(m) > 0 && d.zoneRoom(m.Zone) > 0 {
-			fit = append(fit, m)
-		}
-	}
-	// The least loaded machines first: a reserved machine only gains free resources, so the choice stays
-	// the same in later rounds.
-	slices.SortStableFunc(fit, func(a, b *Machine) int {
-		return cmp.Or(cmp.Compare(d.Measure.Of(b.Free), d.Measure.Of(a.Free)), cmp.Compare(a.ID, b.ID))
-	})
-	zone := ""
-	for _, m := range fit {
-		if want <= 0 {
-			break
-		}
-		if d.OneZone && zone != "" && m.Zone != zone {
-			continue
-		}
-		zone = m.Zone
-		want -= m.Cap.Fits(d.TaskResources)
-		m.Free = Resources{}
-	}
-}
-
 // urgencyTier returns 0 for services and demands of the highest priority, and 1 for all others.
 func urgencyTier(d *Demand) int { return boolToInt(d.Rank > 0 && !d.Service) }
 
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -15,6 +15,7 @@
 	Shard          string // the controller whose shard the machine is in, see ShardOf
 	Cap, Free      Resources
 	Releasing      Resources // resources that become free once stopping tasks have ended
+	Permanent      Resources // resources of service replicas, which do not end by themselves
 	Images         map[string]bool
 	Fetching       map[string]bool // images being fetched; filled in only if load is balanced
 	Penalty        int             // above 0 if the machine is suspected faulty: used last
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -501,3 +501,44 @@
 		}
 	}
 }
+
+// A gang that is larger than all machines, and a task that fits beside no service, had machines reserved for them for as
+// long as they waited: all of them for the gang, so that no other batch job ever started.
+func TestNothingIsReservedForWhatNeverFits(t *testing.T) {
+	reserved := func(ms []*Machine, d *Demand) (n int) {
+		ReserveFor(ms, d)
+		for _, m := range ms {
+			if m.Free == (Resources{}) {
+				n++
+			}
+		}
+		return n
+	}
+	gang := func(tasks int) *Demand {
+		d := demand(tasks, 4)
+		d.Gang = true
+		return d
+	}
+	for tasks, want := range map[int]int{1: 1, 4: 1, 9: 3, 12: 3, 13: 0, 100000: 0} {
+		if n := reserved(machines(3, "x", 16), gang(tasks)); n != want {
+			t.Errorf("%d machines of 4 tasks each are reserved for a gang of %d tasks, want %d", n, tasks, want)
+		}
+	}
+	oneZone := gang(8)
+	oneZone.OneZone = true
+	if n := reserved(append(machines(1, "x", 16), machines(2, "y", 16)...), oneZone); n != 2 {
+		t.Errorf("%d machines are reserved for a gang that fits into the zone of two, want 2", n)
+	}
+	for service, want := range map[float64]int{2: 1, 6.3: 0} {
+		ms := machines(3, "x", 16)
+		for _, m := range ms {
+			m.Permanent = Resources{CPUs: 2, MemoryGB: service}
+			m.Free = m.Cap.Add(m.Permanent, -1)
+		}
+		task := demand(1, 0.5)
+		task.TaskResources.MemoryGB = 60
+		if n := reserved(ms, task); n != want {
+			t.Errorf("%d machines of 64 GB with a service of %v GB each are reserved for a task of 60 GB, want %d", n, service, want)
+		}
+	}
+}
