A task that takes memory alone uses its team's guarantee

Seen (the new test on the code before): an array of 100 tasks of 60 GB and 0.5e-18 cores runs on all four machines and counts as within a guarantee of 30 cores, with any number of tasks. Guaranteed work of another team may then stop none of them, and waits for as long as they run.

Cause: guarantees are of cores and GPUs, and what a job uses of one was taken from its cores and GPUs alone.

Change: PreemptionTerms.GuaranteeUse counts a task with at least the cores that its memory counts as. It decides which jobs are within the guarantee and what a team uses beyond it. Limits are unchanged: they are the platform's rule, by cores and GPUs.

Measured: TestGuaranteeIsNotUsedUpByMemoryAlone fails before ("4 of its tasks run, beyond its team's guarantee: false") and passes now; TestPreemptNeverBreaksAGuarantee passes as before.

--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -210,3 +210,33 @@
 		}
 	}
 }
+
+// An array that takes the memory of all machines and hardly any cores was within its team's guarantee with any number of
+// tasks, so that no other team's guaranteed work could ever take its place.
+func TestGuaranteeIsNotUsedUpByMemoryAlone(t *testing.T) {
+	c, l := newLeaderWithMachines(t, 4)
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 30, CPUsMax: 608})
+	c.quotas["blue"] = quotaOf(config.Team{CPUs: 30, CPUsMax: 608})
+	array := wire.Job{ID: "req-000098", Class: "a", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 100, CPUs: 0.5e-18, MemoryGB: 60}
+	j := l.addJob(array.ID, &headerRecord{Job: array, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+	runRound(c, l)
+	if len(j.attempts) != 4 || !j.terms.Borrowed {
+		t.Fatalf("%d of its tasks run, beyond its team's guarantee: %v; want 4, true", len(j.attempts), j.terms.Borrowed)
+	}
+	for _, a := range j.attempts {
+		a.advance(attemptRunning)
+		a.runningSince, a.machine.snapshot = c.now, nil
+	}
+	other := wire.Job{ID: "req-000099", Class: "b", Team: "blue", Kind: wire.KindArray, Priority: "standard", Tasks: 3, CPUs: 8, MemoryGB: 8}
+	l.addJob(other.ID, &headerRecord{Job: other, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+	runRound(c, l)
+	stopping := 0
+	for _, a := range j.attempts {
+		if a.stopping {
+			stopping++
+		}
+	}
+	if stopping != 2 {
+		t.Errorf("%d tasks of 15 cores' worth of memory are stopped for three of 8 cores within a guarantee, want 2: red uses 60 and is guaranteed 30", stopping)
+	}
+}
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -97,7 +97,7 @@
 // fitsGuarantee adds the unfinished tasks of a job to its team's sum in teamSums, and reports whether the new sum fits
 // into the team's guarantee. It is called for the jobs in the order in which they are served.
 func (l *leader) fitsGuarantee(j *job, teamSums map[string]scheduler.Resources) bool {
-	sum := teamSums[j.spec.Team].Add(taskResources(&j.spec), float64(j.tasksLeft()))
+	sum := teamSums[j.spec.Team].Add(j.terms.GuaranteeUse(), float64(j.tasksLeft()))
 	teamSums[j.spec.Team] = sum
 	return l.c.quotas[j.spec.Team].guarantee.Fits(sum) > 0
 }
@@ -130,6 +130,7 @@
 		return cmp.Or(cmp.Compare(a.missed, b.missed), cmp.Compare(a.work, b.work))
 	})
 	for _, r := range order {
+		r.job.terms.MemoryCores = r.job.spec.MemoryGB * l.c.measure.CoresPerGB
 		r.job.terms.Borrowed = !l.fitsGuarantee(r.job, teamSums)
 	}
 }
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -14,9 +14,18 @@
 	Rank          int  // index of the job's priority; 0 is the highest
 	Borrowed      bool // runs beyond its team's guarantee
 	TaskResources Resources
+	MemoryCores   float64 // cores that the memory of a task counts as, see Measure
 	CheckpointS   float64 // seconds between checkpoints; 0: none
 }
 
+// GuaranteeUse returns what a task uses of its team's guarantee. Memory is never guaranteed, but a task that takes more of
+// a machine's memory than of its cores uses as many cores as its memory counts as: others can't use these.
+func (t *PreemptionTerms) GuaranteeUse() Resources {
+	use := t.TaskResources
+	use.CPUs = max(use.CPUs, t.MemoryCores)
+	return use
+}
+
 // Victim is a task that could be preempted.
 type Victim struct {
 	*PreemptionTerms
@@ -54,17 +63,17 @@
 	remaining.MemoryGB, remaining.Slots = math.Inf(1), math.Inf(1) // never guaranteed
 	for _, v := range chosen {
 		if v.Team == t.Team {
-			remaining = remaining.Add(v.TaskResources, -1)
+			remaining = remaining.Add(v.GuaranteeUse(), -1)
 		}
 	}
-	return remaining.Fits(t.TaskResources) > 0
+	return remaining.Fits(t.GuaranteeUse()) > 0
 }
 
 // Add adds a running task to its team's excess.
-func (e Excess) Add(t *PreemptionTerms) { e[t.Team] = e[t.Team].Add(t.TaskResources, 1) }
+func (e Excess) Add(t *PreemptionTerms) { e[t.Team] = e[t.Team].Add(t.GuaranteeUse(), 1) }
 
 // remove subtracts a stopped task from its team's excess.
-func (e Excess) remove(t *PreemptionTerms) { e[t.Team] = e[t.Team].Add(t.TaskResources, -1) }
+func (e Excess) remove(t *PreemptionTerms) { e[t.Team] = e[t.Team].Add(t.GuaranteeUse(), -1) }
 
 // Preempt picks tasks to stop so that up to missing tasks of d fit. It returns these victims
 // and how many tasks of d get room, be it through them or through resources that stopping
