--- a/client/client.go
+++ b/client/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pumicefront/controller"
+	"pumicefront/internal/httpheader"
 	"pumicefront/wire"
 )
 
@@ -133,7 +134,7 @@
 	if err != nil {
 		return response{}, fmt.Errorf("read response body: %w", err)
 	}
-	return response{status: resp.StatusCode, body: raw, retryAfter: retryAfter(resp.Header)}, nil
+	return response{status: resp.StatusCode, body: raw, retryAfter: httpheader.RetryAfter(resp.Header)}, nil
 }
 
 // State makes a call to the state service for the core. The response of a failed transaction is decoded
--- a/client/errors.go
+++ b/client/errors.go
@@ -135,12 +135,3 @@
 	}
 	return callErr.Status
 }
-
-// retryAfter parses a Retry-After header in seconds. It returns 0 if the header is missing or a date.
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
--- a/statusclient/fetch.go
+++ b/statusclient/fetch.go
@@ -9,8 +9,9 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
+
+	"pumicefront/internal/httpheader"
 )
 
 // RequestTimeout bounds the request to one controller.
@@ -95,7 +96,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Target: target, Status: resp.StatusCode, RetryAfter: retryAfter(resp.Header)}
+		return nil, &StatusError{Target: target, Status: resp.StatusCode, RetryAfter: httpheader.RetryAfter(resp.Header)}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
 	if err != nil {
@@ -116,12 +117,3 @@
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("request %s: status %d", e.Target, e.Status)
 }
-
-// retryAfter parses a Retry-After header in seconds. It returns 0 if the header is missing or a date.
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
