The size of a value counts large and small amounts as JSON writes them

Cause: the limit of the state service on a value counts its JSON form. Size took floats of a million and more, and those below a ten-thousandth, in the form with an exponent, which may be shorter: 9e11 counted as 7 characters instead of 14. A submission at the limit with such amounts would pass the check and be refused by the state service, and its user be told to retry for ever (by reading).

Change: floats between 1e-6 and 1e21 count without an exponent, as encoders write them.

Measured: TestSizeCountsTheJSONForm fails for three such floats before (35 instead of 39) and passes now.

--- a/wire/size.go
+++ b/wire/size.go
@@ -53,9 +53,19 @@
 // listSize returns the size of the brackets and commas of a list or a map.
 func listSize(elements int) int { return len("[]") + max(0, elements-1) }
 
+// Floats of this range, of either sign, are written without an exponent in JSON.
+const (
+	minPositional = 1e-6
+	maxPositional = 1e21
+)
+
 // jsonFloatSize returns the size of a float, which is written with ".0" where it is integral.
 func jsonFloatSize(amount float64) int {
-	size := len(strconv.FormatFloat(amount, 'g', -1, 64))
+	format := byte('g')
+	if magnitude := math.Abs(amount); magnitude >= minPositional && magnitude < maxPositional {
+		format = 'f'
+	}
+	size := len(strconv.FormatFloat(amount, format, -1, 64))
 	if amount == math.Trunc(amount) {
 		size += len(".0")
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -96,6 +96,7 @@
 		`[4.0,-12.5,7,true,null,[],{}]`:                               []any{4.0, -12.5, uint64(7), true, nil, []any{}, map[string]any{}},
 		`"a \"quoted\" word"`:                                         `a "quoted" word`,
 		`"\u00e9"`:                                                    "é",
+		`[123456789012.0,900000000000.0,0.00005]`:                     []any{123456789012.0, 9e11, 0.00005},
 	} {
 		raw := Marshal(value)
 		if got := Size(raw); got != len(want) {
