Two tests of the backlog share their setup

Cause: the tests of tasks of next to no cores and of memory alone stood with the same setup.

Change: backlogBesideRunningTask; the first test also has tasks without memory.

--- a/controller/scale_out_test.go
+++ b/controller/scale_out_test.go
@@ -9,6 +9,7 @@
 
 	"pumicefront/config"
 	"pumicefront/mesh"
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
@@ -180,35 +181,36 @@
 	}
 }
 
+// backlogBesideRunningTask returns the demands that may need a scale-out for a waiting job, while a batch task of one core is
+// about to end.
+func backlogBesideRunningTask(t *testing.T, waiting wire.Job) []*scheduler.Demand {
+	t.Helper()
+	c, l, running := newLeadingCore(t)
+	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
+	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, BootS: 30, Zones: []string{"a"}}})
+	running.attempts[0] = &attempt{job: running, machine: l.machine("i-1"), phase: attemptRunning, runningSince: c.now}
+	running.state.Start(0)
+	running.state.Start(1)
+	l.addJob(waiting.ID, &headerRecord{Job: waiting, TasksPerChunk: 10, AcceptedMS: c.now.UnixMilli()})
+	return l.autoscaler.backlog()
+}
+
 // A job whose tasks take next to no cores ended every leader with "slice bounds out of range": how many of these tasks fit
 // into the room that running tasks free exceeds the range of an integer.
 func TestBacklogOfTasksWithNextToNoCores(t *testing.T) {
 	for _, cpus := range []float64{0.5e-18, math.SmallestNonzeroFloat64, 1e-300, 0} {
-		c, l, running := newLeadingCore(t)
-		c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
-		c.setTypes([]wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, BootS: 30, Zones: []string{"a"}}})
-		running.attempts[0] = &attempt{job: running, machine: l.machine("i-1"), phase: attemptRunning, runningSince: c.now}
-		running.state.Start(0)
-		running.state.Start(1)
 		spec := wire.Job{ID: "req-000099", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: cpus, MemoryGB: 60}
-		l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 10, AcceptedMS: c.now.UnixMilli()})
-		l.autoscaler.backlog()
+		backlogBesideRunningTask(t, spec)
+		spec.MemoryGB = 0
+		backlogBesideRunningTask(t, spec)
 	}
 }
 
 // A job that takes a machine's memory and hardly any cores was counted as fitting into any room that running tasks free, and
 // no machine was ever requested for it while batch tasks ran.
 func TestTasksOfMemoryAloneAreScaledOutFor(t *testing.T) {
-	c, l, running := newLeadingCore(t)
-	c.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: 100})
-	c.setTypes([]wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, BootS: 30, Zones: []string{"a"}}})
-	running.attempts[0] = &attempt{job: running, machine: l.machine("i-1"), phase: attemptRunning, runningSince: c.now}
-	running.state.Start(0)
-	running.state.Start(1)
-	spec := wire.Job{ID: "req-000099", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: 0.5e-18, MemoryGB: 60}
-	l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 10, AcceptedMS: c.now.UnixMilli()})
 	tasks := 0
-	for _, d := range l.autoscaler.backlog() {
+	for _, d := range backlogBesideRunningTask(t, wire.Job{ID: "req-000099", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 2, CPUs: 0.5e-18, MemoryGB: 60}) {
 		tasks += len(d.Tasks)
 	}
 	if tasks != 2 {
