Many timers no longer hold up a step

Seen (trial on the code before, 30 machines with 500 tasks each of one array): when all of them fail, 15,004 timers are set, and running them takes 256 ms of a whole core, seconds on the share that a controller has. The time grows with the square of their number, and each step and each Wake looked at all of them.

Change: timers are a heap by their times, in a file of their own.

--- a/controller/core.go
+++ b/controller/core.go
@@ -44,7 +44,7 @@
 	cloudCalls  map[uint64]func(CloudReply)
 	workerCalls map[uint64]func(WorkerReply)
 	cellCalls   map[uint64]func(CellReply)
-	timers      []timer
+	timers      timers
 
 	reads  *rate.Limiter // requests to the state service for users
 	writes *rate.Limiter // changes in the state service for users
@@ -71,12 +71,6 @@
 	rejected          map[string]*wire.Job  // submissions refused for now, to be reported to the leader
 }
 
-// timer is a function to be run by the first step at or after a time.
-type timer struct {
-	at time.Time
-	fn func()
-}
-
 // jobCount holds the numbers of a job's done and running tasks, as counted by the leader, for display
 // and for lookupOutcomes.
 type jobCount struct{ done, running int }
@@ -132,10 +126,8 @@
 // Wake returns the time by which the core needs its next Tick.
 func (c *Core) Wake() time.Time {
 	at := c.now.Add(tickEvery)
-	for _, t := range c.timers {
-		if t.at.Before(at) {
-			at = t.at
-		}
+	if earliest, any := c.timers.next(); any && earliest.Before(at) {
+		return earliest
 	}
 	return at
 }
@@ -182,21 +174,11 @@
 	}
 }
 
-func (c *Core) runTimers() {
-	for i := 0; i < len(c.timers); {
-		if t := c.timers[i]; !t.at.After(c.now) {
-			c.timers = append(c.timers[:i], c.timers[i+1:]...)
-			t.fn()
-			i = 0
-			continue
-		}
-		i++
-	}
-}
+func (c *Core) runTimers() { c.timers.run(c.now) }
 
 // after runs fn after the duration d.
 func (c *Core) after(d time.Duration, fn func()) {
-	c.timers = append(c.timers, timer{c.now.Add(d), fn})
+	c.timers.add(c.now.Add(d), fn)
 }
 
 func (c *Core) id() uint64 {
