A large job lists only the tasks that its team's limit allows to start

Rounds follow one another within milliseconds.

Cause: the demand of a job listed all of its ready tasks, of which its team's limit of 608 cores lets 152 start. Each write of such a job listed them too, to learn that there are any.

Change: reduction.Frontier yields the frontier node by node, and Judge classifies a state without listing it. The demand of a job of more than 1,000 tasks stops at what its team's limit allows, but lists at least 1,000 and at most 32,768; a gang lists all. Demands of jobs that are not accepted or not ready yet have at most 32,768 tasks. The status of zones counts the others as waiting for their team's limit, as before.

TestLargeJobsListOnlyTasksThatMayStart; the tests of reduction, scheduler and controller pass.

--- a/controller/amounts_test.go
+++ b/controller/amounts_test.go
@@ -240,3 +240,26 @@
 		t.Errorf("%d tasks of 15 cores' worth of memory are stopped for three of 8 cores within a guarantee, want 2: red uses 60 and is guaranteed 30", stopping)
 	}
 }
+
+// Every round listed all waiting tasks of every job: one array of 100,000 tasks took milliseconds and five megabytes in each
+// round, and a hundred of them more memory than a controller has. A large job lists what its team's limit allows to start,
+// and the status of zones still counts all of its tasks. A gang lists all, since it is placed with all or none.
+func TestLargeJobsListOnlyTasksThatMayStart(t *testing.T) {
+	for _, c := range []struct {
+		kind          string
+		tasks, listed int
+		coresMax      float64
+	}{
+		{wire.KindArray, 1000, 1000, 608}, {wire.KindArray, wire.MaxTasks, minListedTasks, 608}, {wire.KindArray, wire.MaxTasks, 3000, 12000},
+		{wire.KindArray, wire.MaxTasks, maxListedTasks, 0}, {wire.KindGang, wire.MaxTasks, wire.MaxTasks, 608},
+	} {
+		core, l := newLeaderWithMachines(t, 0)
+		core.quotas["red"] = quotaOf(config.Team{CPUs: 100, CPUsMax: c.coresMax})
+		spec := wire.Job{ID: "req-000099", Class: "b", Team: "red", Kind: c.kind, Priority: "standard", Tasks: c.tasks, CPUs: 4, MemoryGB: 8}
+		l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 100, AcceptedMS: core.now.UnixMilli()})
+		d := l.demands()[0]
+		if len(d.Tasks) != c.listed || len(d.Tasks)+d.Unlisted != c.tasks {
+			t.Errorf("%+v: %d tasks are listed and %d are not", c, len(d.Tasks), d.Unlisted)
+		}
+	}
+}
--- a/controller/demand_hints.go
+++ b/controller/demand_hints.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		d := s.c.demandOf(hint.spec)
-		d.WithinGuarantee, d.Tasks = true, make([]int, d.Total)
+		d.WithinGuarantee, d.Tasks = true, placeholderTasks(d)
 		ds = append(ds, d)
 	}
 	return ds
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -14,23 +14,21 @@
 // demands lists the ready tasks of all jobs, one demand for each job.
 func (l *leader) demands() []*scheduler.Demand {
 	var ds []*scheduler.Demand
+	var used map[string]scheduler.Resources
 	l.assignGuarantees()
 	for _, j := range l.jobsByAcceptance {
 		if j.cancelled || j.grant != nil || !l.spillover.mayStart(j) || j.state.Count(reduction.Pending) == 0 || l.blocked(j) {
 			continue
 		}
-		verdict, frontier := reduction.Classify(j.graph, j.state)
-		if verdict != reduction.Progressing || j.spec.Kind == wire.KindGang && len(j.attempts) > 0 {
+		if j.spec.Kind == wire.KindGang && len(j.attempts) > 0 {
 			continue
 		}
 		d := l.c.demandOf(&j.spec)
 		d.Rank = j.terms.Rank
-		for _, t := range frontier {
-			if j.attempts[t] == nil && !l.c.now.Before(j.retryAt[t]) {
-				d.Tasks = append(d.Tasks, t)
-			}
+		if used == nil && !listsAllTasks(&j.spec) {
+			used = l.teamUse()
 		}
-		if len(d.Tasks) == 0 {
+		if l.listReadyTasks(d, j, used); len(d.Tasks) == 0 {
 			continue
 		}
 		if d.SpreadImages = l.fetchMissesStartObjective(&j.spec); d.SpreadImages || d.Service {
@@ -50,6 +48,41 @@
 	return ds
 }
 
+// Bounds on the number of tasks that the demand of a large job lists. Its other tasks wait in any case.
+const (
+	minListedTasks = 1000    // listed of a job that has as many, whatever its team's limit allows
+	maxListedTasks = 1 << 15 // listed where the team's limit allows more
+)
+
+// listsAllTasks reports whether the demand of a job lists all its ready tasks. A gang is placed with all its tasks or not
+// at all.
+func listsAllTasks(spec *wire.Job) bool {
+	return spec.Tasks <= minListedTasks || spec.Kind == wire.KindGang
+}
+
+// listReadyTasks lists the ready tasks of a job in its demand, given the use of all teams. Of a large job it lists no more
+// than its team's limit allows to start now: to list 100,000 tasks in each round takes milliseconds and megabytes.
+func (l *leader) listReadyTasks(d *scheduler.Demand, j *job, used map[string]scheduler.Resources) {
+	reduction.Close(j.graph, j.state)
+	limit := j.spec.Tasks
+	if !listsAllTasks(&j.spec) {
+		limit = max(minListedTasks, min(l.roomInTeam(d, used), maxListedTasks))
+	}
+	for t := range reduction.Frontier(j.graph, j.state) {
+		if j.attempts[t] != nil || l.c.now.Before(j.retryAt[t]) {
+			continue
+		}
+		d.Tasks = append(d.Tasks, t)
+		if len(d.Tasks) == limit {
+			d.Unlisted = j.state.Count(reduction.Pending) - limit
+			return
+		}
+	}
+}
+
+// placeholderTasks returns indexes for the tasks of a demand whose job has none yet, at most maxListedTasks.
+func placeholderTasks(d *scheduler.Demand) []int { return make([]int, min(d.Total, maxListedTasks)) }
+
 // delaysChain reports whether a job belongs to a chain of dependent jobs with a deadline. The loss of one of its tasks then
 // delays the later jobs of the chain, or wastes the time that the earlier jobs left before the deadline.
 func (j *job) delaysChain(dependencies *reduction.DynamicGraph) bool {
--- a/controller/job_dependencies.go
+++ b/controller/job_dependencies.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		d := l.c.demandOf(&j.spec)
-		d.Rank, d.WithinGuarantee, d.Tasks = j.terms.Rank, true, make([]int, d.Total)
+		d.Rank, d.WithinGuarantee, d.Tasks = j.terms.Rank, true, placeholderTasks(d)
 		ds = append(ds, d)
 	}
 	return ds
--- a/controller/write_queue.go
+++ b/controller/write_queue.go
@@ -123,7 +123,7 @@
 	}
 	w := &write{id: q.c.rng.Uint64() >> 1} // random, so that no other leader's write has the same ID
 	w.txn.If = []wire.Cond{q.leadershipCondition(), {Key: headerKey(j.id), Version: q.c.watchCache.versions[headerKey(j.id)]}}
-	verdict, _ := reduction.Classify(j.graph, j.state)
+	verdict := reduction.Judge(j.graph, j.state)
 	switch {
 	case verdict == reduction.Settled && len(j.attempts) == 0 && (!j.cancelled || len(q.c.dependencies.Successors(j.id)) == 0):
 		q.composeFinal(j, w)
--- a/controller/zone_status.go
+++ b/controller/zone_status.go
@@ -69,8 +69,8 @@
 		if z.recovering() {
 			throttled = len(scheduler.Place(machines, d)) // tasks that have room and are not placed: their starts are throttled
 		}
-		s.Tasks += len(d.Tasks)
-		s.TeamLimit += len(d.Tasks) - allowed
+		s.Tasks += len(d.Tasks) + d.Unlisted
+		s.TeamLimit += len(d.Tasks) + d.Unlisted - allowed
 		s.ZoneLimit += throttled
 		s.Room += allowed - throttled
 	}
--- a/reduction/reduction.go
+++ b/reduction/reduction.go
@@ -4,7 +4,10 @@
 // (closure), and the closed state is classified. The package does no I/O.
 package reduction
 
-import "fmt"
+import (
+	"fmt"
+	"iter"
+)
 
 // Status is the state of one node.
 type Status uint8
@@ -159,17 +162,29 @@
 	}
 }
 
-// Ready lists the frontier: pending nodes whose predecessors are all completed
-// or skipped. None of them can be reached from another.
+// Frontier yields the frontier in order: pending nodes whose predecessors are all completed or skipped. None of them
+// can be reached from another. The state must not change meanwhile.
+func Frontier(g *Graph, s *State) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		if s.count[Pending] == 0 {
+			return
+		}
+		for v, st := range s.status {
+			if st == Pending && isReady(g, s, v) && !yield(v) {
+				return
+			}
+		}
+	}
+}
+
+// Ready lists the frontier.
 func Ready(g *Graph, s *State) []int {
 	if s.count[Pending] == 0 {
 		return nil
 	}
 	frontier := make([]int, 0, s.count[Pending])
-	for v, st := range s.status {
-		if st == Pending && isReady(g, s, v) {
-			frontier = append(frontier, v)
-		}
+	for v := range Frontier(g, s) {
+		frontier = append(frontier, v)
 	}
 	return frontier
 }
@@ -201,15 +216,24 @@
 // Classify closes the state and classifies it. With Progressing it also returns the
 // frontier, the nodes to release.
 func Classify(g *Graph, s *State) (Verdict, []int) {
+	verdict := Judge(g, s)
+	if verdict != Progressing {
+		return verdict, nil
+	}
+	return verdict, Ready(g, s)
+}
+
+// Judge closes the state and classifies it without listing the frontier.
+func Judge(g *Graph, s *State) Verdict {
 	Close(g, s)
-	if frontier := Ready(g, s); len(frontier) > 0 {
-		return Progressing, frontier
+	for range Frontier(g, s) {
+		return Progressing
 	}
 	switch {
 	case s.count[Running] > 0:
-		return Waiting, nil
+		return Waiting
 	case s.count[Pending] > 0:
-		return Stuck, nil
+		return Stuck
 	}
-	return Settled, nil
+	return Settled
 }
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -6,6 +6,7 @@
 type Demand struct {
 	Job, Class, Team string
 	Tasks            []int     // indexes of the pending tasks, in order
+	Unlisted         int       // further pending tasks that are not in Tasks, since they can't start now
 	Total            int       // number of all tasks of the job, pending or not
 	TaskResources    Resources // resources of one task
 	Measure          Measure   // converts resources into a size in cores
