A gang that never fits no longer keeps others from being placed, nor has tasks stopped for it

Seen (the new test on the code before, three machines): beside a waiting gang of 100 tasks of 4 cores, none of the six tasks of an array of the same class, team and task size is placed although there is room; and all six running tasks of a lower priority are stopped for the gang, again in every round.

Cause: a demand of which not all tasks could be placed counted as proof that no machine has room for one more such task, so that like demands were skipped; a gang is placed with all its tasks or none. Preemption counted the room for some tasks of a gang as a gain.

Change: a gang is no such proof, and tasks are stopped for it only if its team's limit and the machines, once what ends by itself has ended, have room for all of it (scheduler.WillFit).

--- a/controller/placement.go
+++ b/controller/placement.go
@@ -74,9 +74,12 @@
 		used[d.Team] = used[d.Team].Add(d.TaskResources, float64(placed))
 		if placed < want {
 			// No machine has room for one more of these tasks, so demands with the same key need not be tried. This
-			// doesn't follow if the demand has constraints that are not part of the key.
-			unplaceable[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread && d.OnMachine == nil
-			l.preempt(machines, d, want-placed, excess)
+			// doesn't follow if the demand has constraints that are not part of the key, nor from a gang: there may be
+			// room for some of its tasks.
+			unplaceable[key] = len(d.Avoid) == 0 && !d.OneZone && !d.Spread && !d.Gang && d.OnMachine == nil
+			if !d.Gang || want == len(d.Tasks) && scheduler.WillFit(machines, d) {
+				l.preempt(machines, d, want-placed, excess)
+			}
 			if d.Aged && placed == 0 {
 				scheduler.ReserveFor(machines, d)
 			}
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -10,17 +10,21 @@
 // for later demands of the round. Nothing is reserved for a demand that would not fit on the machines either once all
 // tasks there that end by themselves have ended: nobody else could use the machines for as long as it waits.
 func ReserveFor(machines []*Machine, d *Demand) {
-	want := 1
-	if d.Gang {
-		want = len(d.Tasks)
-	}
-	for _, m := range reservable(machines, d, want) {
+	for _, m := range reservable(machines, d) {
 		m.Free = Resources{}
 	}
 }
 
-// reservable returns the machines to reserve for a number of tasks, or nil if they have room for fewer.
-func reservable(machines []*Machine, d *Demand, want int) []*Machine {
+// WillFit reports whether a demand that cannot start bit by bit fits on the machines once all tasks there that end by
+// themselves have ended.
+func WillFit(machines []*Machine, d *Demand) bool { return reservable(machines, d) != nil }
+
+// reservable returns the machines to reserve for a demand, or nil if they have too little room.
+func reservable(machines []*Machine, d *Demand) []*Machine {
+	want := 1
+	if d.Gang {
+		want = len(d.Tasks)
+	}
 	var fit []*Machine
 	for _, m := range machines {
 		if !m.Virtual && d.accepts(m) && d.eventualRoom(m) > 0 && d.zoneRoom(m.Zone) > 0 {
