A gang that waits for its team's limit reserves that, and no machines

Seen (the new test with ReserveFor called as before): an aged gang of 600 cores whose team may use 528 at the moment has most of 40 machines reserved, which stand empty in every round until the team's other work has ended, also for the jobs of other teams; if the team's services hold what the gang needs, that is for ever.

Change: such a gang has its size counted as used by its team, so that the team's other jobs leave it to the gang, and no machine is reserved until the limit allows the gang. Nothing is kept for a gang that does not fit into the limit beside its team's services, or not on the machines.

Measured: TestGangWaitsForItsTeamsLimit fails before and passes now.

--- a/controller/gang_test.go
+++ b/controller/gang_test.go
@@ -1,10 +1,12 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"pumicefront/config"
+	"pumicefront/scheduler"
 	"pumicefront/wire"
 )
 
@@ -39,3 +41,37 @@
 		}
 	}
 }
+
+// A gang that has waited long and exceeds what is left of its team's limit keeps that for itself, instead of machines that
+// would stand empty; but only if it will fit into the limit beside its team's services.
+func TestGangWaitsForItsTeamsLimit(t *testing.T) {
+	for services, wantHeld := range map[int]bool{0: true, 30: false} { // replicas of 2 cores
+		c, l := newLeaderWithMachines(t, 40)
+		if services > 0 {
+			spec := wire.Job{ID: "req-000070", Class: "web", Team: "red", Kind: wire.KindService, Priority: "prod", Tasks: services, CPUs: 2, MemoryGB: 1}
+			l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+			runRound(c, l)
+		}
+		for i := range 4 {
+			spec := wire.Job{ID: fmt.Sprintf("req-00008%d", i), Class: "b", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 5, CPUs: 4, MemoryGB: 8}
+			l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 100, AcceptedMS: c.now.UnixMilli()})
+		}
+		runRound(c, l)
+		gang := addGang(c, l, 150, 10*time.Minute) // 600 of 608 cores
+		machines := l.schedulerView(false)
+		d := l.c.demandOf(&gang.spec)
+		l.listReadyTasks(d, gang, nil)
+		used := l.teamUse()
+		d.RoomInTeam, d.Aged = l.roomInTeam(d, used), true
+		before := used["red"]
+		l.reserveFor(machines, d, used)
+		if held := used["red"] != before; held != wantHeld {
+			t.Errorf("%d replicas: the limit is kept for the gang: %v, want %v", services, held, wantHeld)
+		}
+		for _, m := range machines {
+			if m.Free == (scheduler.Resources{}) {
+				t.Errorf("%d replicas: %s is reserved for a gang that its team's limit does not allow yet", services, m.ID)
+			}
+		}
+	}
+}
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -81,13 +81,25 @@
 				l.preempt(machines, d, want-placed, excess)
 			}
 			if d.Aged && placed == 0 {
-				scheduler.ReserveFor(machines, d)
+				l.reserveFor(machines, d, used)
 			}
 		}
 	}
 	l.zones.recordThrottledStarts(limits)
 }
 
+// reserveFor reserves machines for an aged demand that did not fit. For a gang that exceeds what is left of its team's limit
+// it reserves that instead: the machines would stand empty meanwhile.
+func (l *leader) reserveFor(machines []*scheduler.Machine, d *scheduler.Demand, used map[string]scheduler.Resources) {
+	if !d.Gang || len(d.Tasks) <= d.RoomInTeam {
+		scheduler.ReserveFor(machines, d)
+		return
+	}
+	if l.roomInTeam(d, l.teamUseByServices()) >= len(d.Tasks) && scheduler.WillFit(machines, d) {
+		used[d.Team] = used[d.Team].Add(d.TaskResources, float64(len(d.Tasks)))
+	}
+}
+
 // placeTasks places as many tasks of a demand as fit, removes them from the demand, and returns their number. Tasks
 // assigned to a machine that is still booting get no attempt: they wait for the machine.
 func (l *leader) placeTasks(machines []*scheduler.Machine, d *scheduler.Demand) int {
--- a/controller/quota.go
+++ b/controller/quota.go
@@ -8,6 +8,7 @@
 
 	"pumicefront/config"
 	"pumicefront/scheduler"
+	"pumicefront/wire"
 )
 
 // Team quotas: what each team is guaranteed, what limits it, and which of its jobs the guarantee covers.
@@ -72,6 +73,17 @@
 	return used
 }
 
+// teamUseByServices sums, by team, the resources of the attempts of services, which do not end by themselves.
+func (l *leader) teamUseByServices() map[string]scheduler.Resources {
+	used := map[string]scheduler.Resources{}
+	for _, j := range l.jobsByAcceptance {
+		if j.spec.Kind == wire.KindService {
+			used[j.spec.Team] = used[j.spec.Team].Add(taskResources(&j.spec), float64(len(j.attempts)))
+		}
+	}
+	return used
+}
+
 // excess returns each team's use minus its guarantee, negative where the team uses less than that. Attempts that are
 // being stopped do not count as use.
 func (l *leader) excess() scheduler.Excess {
