Direct commands to a worker are sent in bounded parts

Cause: an answer to a heartbeat has at most 400 commands, a direct message had as many as were due; with 600 task slots, stops and runs together may exceed the 64 KiB that a body may hold.

Change: both have at most 400 commands.

Measured: TestDirectCommandsAreSentInParts; the tests of the controller and those that hash logs pass.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -34,10 +34,12 @@
 	slices.SortStableFunc(commands, func(a, b wire.Command) int {
 		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
-	const maxCommands = 400 // keeps the answer far below 64 KiB; the rest follows with the next heartbeat
-	return commands[:min(len(commands), maxCommands)]
+	return commands[:min(len(commands), maxCommands)] // the rest follows with the next heartbeat
 }
 
+// maxCommands bounds the number of commands in one message to a worker, which stays far below 64 KiB with so many.
+const maxCommands = 400
+
 // mayRun reports whether an attempt's run command may be sent now.
 //
 // The run command of an earlier leader's attempt is never sent again. That leader may have had proof
@@ -110,19 +112,33 @@
 		if m.callInFlight || len(m.pendingRuns)+len(m.pendingStops) == 0 {
 			continue // a call in flight calls enqueueForSending again when it ends
 		}
-		commands := m.pendingStops
-		for _, a := range m.pendingRuns {
-			if l.mayRun(a) && a.phase < attemptReported && a.job.attempts[a.task] == a {
-				commands = append(commands, l.runCommand(a))
-			}
-		}
-		m.pendingRuns, m.pendingStops = nil, nil
+		commands := l.takePendingCommands(m)
 		if len(commands) > 0 && m.up && !m.releasing {
 			l.sendCommand(m, commands)
 		}
 	}
 }
 
+// takePendingCommands removes up to maxCommands commands from those to be sent directly to a machine, stops first, and
+// returns them. The others are sent when the call with these has ended.
+func (l *leader) takePendingCommands(m *machine) []wire.Command {
+	stops := min(len(m.pendingStops), maxCommands)
+	commands := slices.Clone(m.pendingStops[:stops])
+	m.pendingStops = m.pendingStops[stops:]
+	taken := 0
+	for _, a := range m.pendingRuns {
+		if len(commands) == maxCommands {
+			break
+		}
+		taken++
+		if l.mayRun(a) && a.phase < attemptReported && a.job.attempts[a.task] == a {
+			commands = append(commands, l.runCommand(a))
+		}
+	}
+	m.pendingRuns = m.pendingRuns[taken:]
+	return commands
+}
+
 // sendCommand sends commands directly to a machine's worker, whose answer carries its status. Without
 // commands it is a probe.
 func (l *leader) sendCommand(m *machine, commands []wire.Command) {
--- a/controller/task_slots_test.go
+++ b/controller/task_slots_test.go
@@ -84,3 +84,35 @@
 		t.Errorf("a report of %d tasks takes %d characters, the limit is %d", slotsPerMachine, size, wire.MaxBodyBytes)
 	}
 }
+
+// Commands that are sent directly were sent in one message, however many they were. Those beyond the bound follow when the
+// call with the first ones has ended.
+func TestDirectCommandsAreSentInParts(t *testing.T) {
+	c, l := newLeaderWithMachines(t, 1)
+	m := l.machines["i-00"]
+	for n := range 2*maxCommands + 7 {
+		m.pendingStops = append(m.pendingStops, wire.Command{Op: wire.OpStop, Task: wire.TaskID("req-000001", n), Attempt: 1})
+	}
+	l.enqueueForSending(m)
+	sent := map[string]bool{}
+	for call, want := range []int{maxCommands, maxCommands, 7} {
+		c.out = nil
+		l.sendCommands()
+		if len(c.out) != 1 {
+			t.Fatalf("call %d: %d calls are made", call, len(c.out))
+		}
+		sentNow := c.out[0].(WorkerCall)
+		if len(sentNow.Commands.Commands) != want {
+			t.Errorf("call %d has %d commands, want %d", call, len(sentNow.Commands.Commands), want)
+		}
+		for _, command := range sentNow.Commands.Commands {
+			sent[command.Task] = true
+		}
+		report := newReport(m, l.token)
+		report.Type, report.Zone = m.typ, m.zone
+		resume(c.workerCalls, sentNow.ID, WorkerReply{ID: sentNow.ID, Machine: m.id, Status: 200, Report: *report})
+	}
+	if len(sent) != 2*maxCommands+7 {
+		t.Errorf("%d commands are sent, want %d", len(sent), 2*maxCommands+7)
+	}
+}
