A gang for which there is too little room is not tried task by task

Cause: a gang of 100,000 tasks that take next to nothing had as many tasks assigned as all machines have slots, and taken back, in every round, and its tasks listed in a slice that grew. Found when the change was read once more.

Change: Place counts the room for a gang first; demands are listed in a slice of the right size; machines of a zone are looked at once where a gang bound to one zone is to be reserved for.

--- a/controller/demands.go
+++ b/controller/demands.go
@@ -68,6 +68,7 @@
 	if !listsAllTasks(&j.spec) {
 		limit = max(minListedTasks, min(l.roomInTeam(d, used), maxListedTasks))
 	}
+	d.Tasks = make([]int, 0, min(limit, j.state.Count(reduction.Pending)))
 	for t := range reduction.Frontier(j.graph, j.state) {
 		if j.attempts[t] != nil || l.c.now.Before(j.retryAt[t]) {
 			continue
--- a/controller/gang_test.go
+++ b/controller/gang_test.go
@@ -75,3 +75,22 @@
 		}
 	}
 }
+
+// Guards against rounds that assign as many tasks of a gang as there is room for and take them back: for a gang of tasks that
+// take next to nothing these are all slots of all machines.
+func TestGangOfTinyTasksThatDoesNotFitIsNotTriedTaskByTask(t *testing.T) {
+	c, l := newLeaderWithMachines(t, 30)
+	spec := wire.Job{ID: "req-000090", Class: "a", Team: "red", Kind: wire.KindGang, Priority: "prod", Tasks: wire.MaxTasks, CPUs: 0.5e-18}
+	l.addJob(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 100, AcceptedMS: c.now.Add(-time.Hour).UnixMilli()})
+	const rounds = 200
+	begun := time.Now()
+	for range rounds {
+		runRound(c, l)
+	}
+	if took := time.Since(begun); took > 10*time.Second {
+		t.Errorf("%d rounds took %v, want a second", rounds, took)
+	}
+	if n := len(l.jobs[spec.ID].attempts); n > 0 {
+		t.Errorf("%d tasks of a gang that does not fit are placed", n)
+	}
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -57,7 +57,7 @@
 			eligible = append(eligible, m)
 		}
 	}
-	if len(eligible) == 0 {
+	if len(eligible) == 0 || d.Gang && d.capacity(eligible, want).all < want {
 		return nil
 	}
 	if shard := bestShard(eligible, d, want); shard != nil {
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -39,7 +39,12 @@
 	if !d.OneZone {
 		return firstWithRoom(fit, d, want)
 	}
+	tried := map[string]bool{}
 	for _, m := range fit {
+		if tried[m.Zone] {
+			continue
+		}
+		tried[m.Zone] = true
 		inZone := slices.DeleteFunc(slices.Clone(fit), func(o *Machine) bool { return o.Zone != m.Zone })
 		if reserved := firstWithRoom(inZone, d, want); reserved != nil {
 			return reserved
