One answer stops all cancelled tasks of a machine

Seen (the new test on the code before): of 600 cancelled tasks that a heartbeat lists, the answer stops 400, and 200 where there are 200 ended attempts to forget, which sort before them; yet the answer renews the lease. mustNotRenewLease lets it do so since "its stop command is sent in the same answer".

Cause: an answer has had at most 400 commands, in the order of their tasks, and a machine more than 400 tasks only if they are small; with 600 task slots that is planned for.

Change: a message has at most 700 commands, which fit into 64 KiB with the longest ids and are more than a machine has slots; where there are more, stops go first.

Measured: TestOneAnswerStopsAllTasksOfAMachine fails before as above and passes now; TestMostCommandsFitIntoABody passes (58,844 characters of 65,536). The tests of the controller pass.

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -34,11 +34,24 @@
 	slices.SortStableFunc(commands, func(a, b wire.Command) int {
 		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
-	return commands[:min(len(commands), maxCommands)] // the rest follows with the next heartbeat
+	if len(commands) > maxCommands { // the rest follows with the next heartbeat, stops are never put off for other commands
+		slices.SortStableFunc(commands, func(a, b wire.Command) int { return stopsFirst(a) - stopsFirst(b) })
+		commands = commands[:maxCommands]
+	}
+	return commands
 }
 
-// maxCommands bounds the number of commands in one message to a worker, which stays far below 64 KiB with so many.
-const maxCommands = 400
+// maxCommands bounds the number of commands in one message to a worker, which stays below 64 KiB with so many. It is above
+// slotsPerMachine, so that one message can stop all tasks of a machine.
+const maxCommands = 700
+
+// stopsFirst is a sort key that puts stop commands before all others.
+func stopsFirst(command wire.Command) int {
+	if command.Op == wire.OpStop {
+		return 0
+	}
+	return 1
+}
 
 // mayRun reports whether an attempt's run command may be sent now.
 //
--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -69,7 +69,7 @@
 			commands = append(commands, wire.Command{Op: wire.OpStop, Task: t.ID, Attempt: t.Attempt})
 		}
 	}
-	return commands[:min(len(commands), maxCommands)]
+	return commands
 }
 
 // mustNotRenewLease reports whether a machine's lease must not be renewed: a run command of a
--- a/controller/task_slots_test.go
+++ b/controller/task_slots_test.go
@@ -116,3 +116,59 @@
 		t.Errorf("%d commands are sent, want %d", len(sent), 2*maxCommands+7)
 	}
 }
+
+// Guards against a lease that is renewed by an answer without the stop commands of all cancelled tasks that the heartbeat
+// lists: an answer had at most 400 commands, and a machine may have 600 tasks. This holds for a leader that has read the
+// records and for one that has not, and other commands never take the place of a stop.
+func TestOneAnswerStopsAllTasksOfAMachine(t *testing.T) {
+	c, l := newLeaderWithMachines(t, 2)
+	m := l.machines["i-00"]
+	for i, tasks := range []int{slotsPerMachine - slotsForOtherJobs, slotsForOtherJobs} {
+		spec := wire.Job{ID: fmt.Sprintf("req-00009%d", i), Class: "a", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: tasks, CPUs: 0.5e-18}
+		c.headerChanged(spec.ID, &headerRecord{Job: spec, TasksPerChunk: 600, AcceptedMS: c.now.UnixMilli()})
+		for task := range tasks {
+			l.runCommand(placeAttempt(l, l.jobs[spec.ID], task, m))
+		}
+	}
+	report := newReport(m, l.token)
+	report.Type, report.Zone = m.typ, m.zone
+	for _, a := range m.attemptsInOrder() {
+		report.Tasks = append(report.Tasks, wire.Task{ID: a.taskID(), Attempt: a.number, State: wire.TaskRunning})
+	}
+	for id, j := range l.jobs {
+		c.headerChanged(id, &headerRecord{Job: j.spec, TasksPerChunk: 600, Cancelled: true})
+	}
+	stops := func(commands []wire.Command) (n int) {
+		for _, command := range commands {
+			if command.Op == wire.OpStop {
+				n++
+			}
+		}
+		return n
+	}
+	if n := stops(l.failureDetector.cancelledTasks(report)); n != slotsPerMachine {
+		t.Errorf("a leader without the records stops %d of %d cancelled tasks", n, slotsPerMachine)
+	}
+	if n := stops(l.heartbeatCommands(m)); n != slotsPerMachine {
+		t.Errorf("a leader stops %d of %d cancelled tasks", n, slotsPerMachine)
+	}
+	for n := range 200 { // attempts to forget, which sort before all others
+		k := taskKey{wire.TaskID("req-000001", n), 1}
+		m.endedAttempts.add(k, c.now)
+	}
+	m.token = l.token
+	if commands := l.heartbeatCommands(m); stops(commands) != slotsPerMachine || len(commands) != maxCommands {
+		t.Errorf("%d of %d cancelled tasks are stopped by an answer with %d commands", stops(commands), slotsPerMachine, len(commands))
+	}
+}
+
+// The largest number of commands with the longest IDs fits into a body.
+func TestMostCommandsFitIntoABody(t *testing.T) {
+	message := wire.Commands{Token: 1e6, Session: 1e6}
+	for n := range maxCommands {
+		message.Commands = append(message.Commands, wire.Command{Op: wire.OpStop, Task: wire.TaskID("req-999999999999999999", wire.MaxTasks-1-n), Attempt: 99999, GraceS: 119.5})
+	}
+	if size := wire.Size(wire.Marshal(message)); size > wire.MaxBodyBytes {
+		t.Errorf("%d commands take %d characters, the limit is %d", maxCommands, size, wire.MaxBodyBytes)
+	}
+}
