A variable that hid a builtin name, and a comment on listed tasks

Cause: "any" was the name of a variable in Wake, and a comment told figures that belong into the commit message.

Change: the variable is called found; the comment gives the reason only.

--- a/controller/core.go
+++ b/controller/core.go
@@ -126,7 +126,7 @@
 // Wake returns the time by which the core needs its next Tick.
 func (c *Core) Wake() time.Time {
 	at := c.now.Add(tickEvery)
-	if earliest, any := c.timers.next(); any && earliest.Before(at) {
+	if earliest, found := c.timers.next(); found && earliest.Before(at) {
 		return earliest
 	}
 	return at
--- a/controller/demands.go
+++ b/controller/demands.go
@@ -61,7 +61,7 @@
 }
 
 // listReadyTasks lists the ready tasks of a job in its demand, given the use of all teams. Of a large job it lists no more
-// than its team's limit allows to start now: to list 100,000 tasks in each round takes milliseconds and megabytes.
+// than its team's limit allows to start now: listing all tasks of large jobs would take most of a round.
 func (l *leader) listReadyTasks(d *scheduler.Demand, j *job, used map[string]scheduler.Resources) {
 	reduction.Close(j.graph, j.state)
 	limit := j.spec.Tasks
--- a/controller/timers_test.go
+++ b/controller/timers_test.go
@@ -20,7 +20,7 @@
 	})
 	timers.add(now.Add(2*time.Second), record(3))
 	timers.add(now.Add(time.Minute), record(4))
-	if at, any := timers.next(); !any || !at.Equal(now.Add(time.Second)) {
+	if at, found := timers.next(); !found || !at.Equal(now.Add(time.Second)) {
 		t.Errorf("the earliest timer is at %v", at)
 	}
 	if timers.run(now); len(ran) > 0 {
@@ -29,7 +29,7 @@
 	if timers.run(now.Add(3 * time.Second)); !slices.Equal(ran, []int{1, 2, 3, 5}) {
 		t.Errorf("ran %v, want 1, 2, 3 and the one set meanwhile", ran)
 	}
-	if at, any := timers.next(); !any || !at.Equal(now.Add(time.Minute)) {
+	if at, found := timers.next(); !found || !at.Equal(now.Add(time.Minute)) {
 		t.Errorf("the earliest timer left is at %v", at)
 	}
 }
